--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -131,6 +131,9 @@
         TaskState s = model_.task(ref);
         const Job* job = model_.job(ref.job);
         if (job == nullptr) continue;
+        // Judged to be over, only not committed yet (the state service may be away): a worker back in a new session
+        // must not be told to start it again, or it would run while its successor is started elsewhere.
+        if (ledger_.ending(ref, s.attempt)) continue;
         const bool was_here = m.met.contains({ref, s.attempt});
         const bool unwanted = job->cancelled || was_here || r.notice_s ||
                               (job->spec.shape == wire::Shape::gang && sched::gang_state(*job).failed);
--- a/src/jobs/ledger.h
+++ b/src/jobs/ledger.h
@@ -25,6 +25,10 @@
     void finish(const TaskRef& t, Attempt a, const MachineId& m);
     // The attempt is over, or surely never began; `why` is for the log.
     void release(const TaskRef& t, Attempt a, const MachineId& m, const char* why);
+    // An end of this attempt waits to be committed: it must not be ordered to run again meanwhile.
+    bool ending(const TaskRef& t, Attempt a) const {
+        return waiting_.contains({t, {TaskEvent::finish, a}}) || waiting_.contains({t, {TaskEvent::release, a}});
+    }
     // Turns a job that is over into its final record.
     void close_job(const JobId& id);
     std::size_t queued() const { return ops_; }
--- a/tests/world.h
+++ b/tests/world.h
@@ -191,6 +191,7 @@
     std::map<std::string, Worker> workers_;
     std::map<std::string, JobText> jobs_;
     std::map<std::string, std::string> told_;
+    std::set<std::string> cancelling_;
     std::map<std::string, std::set<int>> finished_;
     std::map<std::string, std::vector<std::string>> hire_answers_;
     std::map<std::string, double> born_;
