Reserve machines for classes that cannot wait for a boot

Cause: high-priority gangs need a whole machine at once; one-GPU tasks held half of each, CPU-only tasks sat on GPU machines, and a boot plus fetch is longer than the aim. Ruled out: slow rounds (p95 of an idle round is under 50 ms).

--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -120,6 +120,8 @@
             } else if constexpr (std::is_same_v<T, wire::Gone>) {
                 supply_.on_gone(v);
                 fleet_.on_gone(v);
+            } else if constexpr (std::is_same_v<T, wire::Reserve>) {
+                fleet_.on_reserve(v);
             }
         },
         m);
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -204,7 +204,11 @@
         for (const auto& [id, m] : machines_) {
             if (!usable(id, m) || !sched::machine_allowed(job->spec, job->pinned_zone, m.type, m.zone, m.spot)) continue;
             const auto* type = model_.type(m.type);
-            if (type == nullptr) continue;
+            if (type == nullptr || !sched::worth_using(job->spec, *type, model_.types())) continue;
+            // A supplier that is gone leaves no reservations behind.
+            if (auto kept = reserved_.find(id); kept != reserved_.end() && kept->second != job->spec.job_class &&
+                                                env_.now() - reserved_at_ < seconds(6))
+                continue;
             sched::Candidate c{id, m.zone, free_room(id, m), type->room, false, std::min(m.errors, 5)};
             if (!c.free.fits(ask.need)) continue;
             c.has_image = std::find(m.images.begin(), m.images.end(), ask.image) != m.images.end();
@@ -267,6 +271,12 @@
     }
 }
 
+void Fleet::on_reserve(const wire::Reserve& m) {
+    reserved_.clear();
+    for (const auto& r : m.machines) reserved_[r.machine] = r.job_class;
+    reserved_at_ = env_.now();
+}
+
 void Fleet::on_beat(const wire::Beat& b) {
     for (const auto& m : b.machines) {
         if (addresses_.size() < most_machines || addresses_.contains(m.id)) addresses_[m.id] = {m.address, m.session};
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -30,6 +30,7 @@
     void on_verdict(const wire::Verdict& m);
     void on_drain(const NodeName& from, const wire::Drain& m);
     void on_gone(const wire::Gone& m);
+    void on_reserve(const wire::Reserve& m);
     // Addresses that other nodes know, for announcing a new term.
     void on_beat(const wire::Beat& m);
     void on_part_gained(std::uint32_t part);
@@ -92,6 +93,8 @@
     std::map<TaskRef, std::pair<MachineId, Room>> starting_;  // said yes to, not yet committed
     std::map<std::pair<TaskRef, Attempt>, Mono> stops_;       // asked to stop
     std::map<JobId, std::set<MachineId>> job_errors_;
+    std::map<MachineId, std::string> reserved_;  // by the supplier's latest word
+    Mono reserved_at_{};
     std::map<MachineId, std::pair<std::string, std::uint64_t>> addresses_;
 };
 
--- a/src/sched/logic.cpp
+++ b/src/sched/logic.cpp
@@ -9,6 +9,12 @@
     return t.room.fits(s.need);
 }
 
+bool worth_using(const wire::JobSpec& s, const wire::MachineType& t, const std::vector<wire::MachineType>& types) {
+    if (s.need.gpu > 0 || t.room.gpu == 0) return true;
+    return std::none_of(types.begin(), types.end(),
+                        [&](const auto& o) { return o.room.gpu == 0 && type_allowed(s, o); });
+}
+
 bool machine_allowed(const wire::JobSpec& s, const std::optional<std::string>& pin, const std::string& type,
                      const std::string& zone, bool spot) {
     if (s.types && std::find(s.types->begin(), s.types->end(), type) == s.types->end()) return false;
--- a/src/sched/logic.h
+++ b/src/sched/logic.h
@@ -21,6 +21,8 @@
 };
 
 bool type_allowed(const wire::JobSpec& s, const wire::MachineType& t);
+// GPUs are kept for those who need them, as long as another type would do.
+bool worth_using(const wire::JobSpec& s, const wire::MachineType& t, const std::vector<wire::MachineType>& types);
 bool machine_allowed(const wire::JobSpec& s, const std::optional<std::string>& pin, const std::string& type,
                      const std::string& zone, bool spot);
 
--- a/src/supply/plan.cpp
+++ b/src/supply/plan.cpp
@@ -18,6 +18,9 @@
     double when = std::numeric_limits<double>::max();
     for (auto& b : bins) {
         if (!sched::machine_allowed(*d.spec, d.pin, b.type, b.zone, b.spot)) continue;
+        if (!b.reserved_for.empty() && b.reserved_for != d.spec->job_class) continue;
+        auto kind = std::find_if(types.begin(), types.end(), [&](const auto& t) { return t.name == b.type; });
+        if (kind == types.end() || !sched::worth_using(*d.spec, *kind, types)) continue;
         for (std::size_t i = 0; i < b.slots.size(); ++i)
             if (b.slots[i].free_at < when && b.slots[i].room.fits(d.spec->need)) {
                 best = &b;
@@ -68,7 +71,7 @@
             const wire::MachineType* best_type = nullptr;
             double least = std::numeric_limits<double>::max();
             for (const auto& t : *in.types) {
-                if (!sched::type_allowed(*d.spec, t)) continue;
+                if (!sched::type_allowed(*d.spec, t) || !sched::worth_using(*d.spec, t, *in.types)) continue;
                 auto many = static_cast<std::int64_t>(left);
                 auto at_once = [&](std::int64_t has, std::int64_t need) { return need > 0 ? has / need : many; };
                 std::int64_t side = std::min({at_once(t.room.cpu, d.spec->need.cpu), at_once(t.room.gpu, d.spec->need.gpu),
@@ -91,7 +94,7 @@
             if (!best) break;
             ++plan.rent[*best];
             ++rented;
-            in.bins.push_back({MachineId(), best->type, best->zone, best->spot, {{best_type->boot_s, best_type->room}}, true});
+            in.bins.push_back({MachineId(), best->type, best->zone, best->spot, {{best_type->boot_s, best_type->room}}, true, {}});
             // Nothing is there sooner than a boot takes: what is rented for this task serves it however patient it is.
             Demand now = d;
             now.patience_s = std::max(d.patience_s, best_type->boot_s + 0.1);
--- a/src/supply/plan.h
+++ b/src/supply/plan.h
@@ -23,6 +23,7 @@
     bool spot = false;
     std::vector<Slot> slots;
     bool used = false;  // the plan puts waiting work here
+    std::string reserved_for = {};  // class of jobs that it is kept for; empty: any
 };
 // Waiting tasks of one job.
 struct Demand {
--- a/src/supply/supply.cpp
+++ b/src/supply/supply.cpp
@@ -1,9 +1,10 @@
 #include "supply/supply.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "base/log.h"
-#include "jobs/relay.h"
+#include "sched/logic.h"
 
 namespace zd {
 namespace {
@@ -146,7 +147,7 @@
             continue;
         }
         const bool heard = fresh && !k->second.beat.address.empty();
-        supply::Bin bin{id, r.type, r.zone, r.spot, {}, false};
+        supply::Bin bin{id, r.type, r.zone, r.spot, {}, false, {}};
         if (heard) {
             const auto& b = k->second.beat;
             if (!b.usable) continue;
@@ -177,7 +178,7 @@
     for (const auto& [kind, n] : renting_) {
         const auto* type = model_.type(kind.type);
         for (std::uint32_t i = 0; type != nullptr && i < n; ++i)
-            in.bins.push_back({MachineId(), kind.type, kind.zone, kind.spot, {{type->boot_s, type->room}}, false});
+            in.bins.push_back({MachineId(), kind.type, kind.zone, kind.spot, {{type->boot_s, type->room}}, false, {}});
     }
     for (const auto& [kind, until] : refused_until_)
         if (until > now) in.refused.insert(kind);
@@ -212,6 +213,7 @@
         d.patience_s = patient;
         in.demands.push_back(std::move(d));
     }
+    reserve(in);
     supply::Plan p = supply::make_plan(std::move(in));
     // A new supplier sees what its predecessor rented only when the list has caught up.
     const bool caught_up = now - active_since_ > seconds(std::min(8.0, settings_.list_lag_s + 1)) ||
@@ -235,6 +237,81 @@
     if (!failed.empty()) give_back(std::move(failed), "failed");
 }
 
+// Classes whose aim for the wait is shorter than a boot can only be met by machines that stand ready: those that run
+// them now, and as many more as arrive, by the recent rate, while another machine would boot.
+void Supply::reserve(supply::PlanInput& in) {
+    const WallMs wall = env_.wall();
+    for (const auto& [id, j] : model_.jobs())
+        if (!j.cancelled) arrivals_[j.spec.job_class].note(j.spec, j.submitted, j.pinned_zone);
+    std::map<MachineId, std::string> chosen;
+    std::vector<supply::Demand> standing;
+    for (auto& [name, a] : arrivals_) {
+        a.forget(wall);
+        const wire::MachineType* type = nullptr;
+        for (const auto& t : model_.types())
+            if (sched::type_allowed(a.spec, t) && (type == nullptr || t.price < type->price)) type = &t;
+        double within = 1e9;
+        for (const auto& o : settings_.objectives)
+            if (o.kind == "wait" && o.job_class == name) within = std::min(within, o.within_s);
+        if (type == nullptr || within > type->boot_s * 1.5 || a.times.empty()) continue;
+        const double boot = type->boot_s + a.spec.image_gb / type->fetch_gb_per_s;
+        const double rate = static_cast<double>(a.times.size()) / a.window_s(wall);
+        const auto ready = static_cast<std::size_t>(std::clamp(std::ceil(rate * boot * policy_.reserve), policy_.reserve > 0 ? 1.0 : 0.0, 10.0));
+        std::size_t waiting = 0;
+        for (const auto& d : in.demands)
+            if (d.spec->job_class == name) waiting += d.tasks;
+        std::vector<std::pair<int, supply::Bin*>> order;
+        std::size_t running = 0;
+        for (auto& b : in.bins) {
+            if (b.id.empty() || !b.reserved_for.empty() || !sched::machine_allowed(a.spec, a.pin, b.type, b.zone, b.spot)) continue;
+            const auto* t = model_.type(b.type);
+            if (t == nullptr || !t->room.fits(a.spec.need)) continue;
+            bool runs = false;
+            for (const auto& ref : model_.on_machine(b.id))
+                if (const Job* j = model_.job(ref.job); j != nullptr && j->spec.job_class == name) runs = true;
+            running += runs ? 1 : 0;
+            const bool was = reserved_.contains(b.id), busy = !model_.on_machine(b.id).empty();
+            order.emplace_back(runs ? 0 : was && !busy ? 1 : !busy ? 2 : was ? 3 : 4 + static_cast<int>(model_.on_machine(b.id).size()), &b);
+        }
+        std::stable_sort(order.begin(), order.end(), [](const auto& x, const auto& y) { return x.first < y.first; });
+        const std::size_t want = running + waiting + ready;
+        for (std::size_t i = 0; i < std::min(want, order.size()); ++i) {
+            order[i].second->reserved_for = name;
+            chosen[order[i].second->id] = name;
+        }
+        supply::Demand d;
+        d.spec = &a.spec;
+        d.pin = a.pin;
+        d.tasks = static_cast<TaskIndex>(ready);
+        d.run_s = std::max(1.0, a.spec.estimate_s);
+        standing.push_back(std::move(d));
+    }
+    for (auto& d : standing) in.demands.push_back(std::move(d));
+    reserved_ = chosen;
+    wire::Reserve m;
+    for (const auto& [id, c] : chosen) m.machines.push_back({id, c});
+    for (const auto& n : settings_.all_nodes()) send_(n, m);
+}
+
+void Supply::Arrivals::note(const wire::JobSpec& s, WallMs at, const std::optional<std::string>& zone) {
+    if (times.contains({at, s.id})) return;
+    if (times.empty() || at > times.rbegin()->first) {
+        spec = s;
+        pin = zone;
+    }
+    if (first == WallMs{}) first = at;
+    times.insert({at, s.id});
+    if (times.size() > 500) times.erase(times.begin());
+}
+
+void Supply::Arrivals::forget(WallMs now) {
+    while (!times.empty() && times.begin()->first.v + window_ms < now.v) times.erase(times.begin());
+}
+
+double Supply::Arrivals::window_s(WallMs now) const {
+    return std::clamp(static_cast<double>(now.v - first.v) / 1000.0, 30.0, window_ms / 1000.0);
+}
+
 void Supply::rent(const supply::Kind& k, std::uint32_t count) {
     // Unique for ever: no two processes share an incarnation, and none counts backwards.
     std::string name = settings_.node.v + "." + std::to_string(cluster_.incarnation().v) + "." + std::to_string(++next_hire_);
--- a/src/supply/supply.h
+++ b/src/supply/supply.h
@@ -42,10 +42,22 @@
         NodeName owner;
         Mono at{};
     };
+    // Recent submissions of one class.
+    struct Arrivals {
+        static constexpr std::int64_t window_ms = 240'000;
+        wire::JobSpec spec;  // of the latest
+        std::optional<std::string> pin;
+        std::set<std::pair<WallMs, JobId>> times;
+        WallMs first;
+        void note(const wire::JobSpec& s, WallMs at, const std::optional<std::string>& zone);
+        void forget(WallMs now);
+        double window_s(WallMs now) const;
+    };
     void tick();
     void read_types();
     void read_list(const std::string& after, std::set<MachineId> seen);
     void plan();
+    void reserve(supply::PlanInput& in);
     void rent(const supply::Kind& k, std::uint32_t count);
     void give_back(std::vector<MachineId> machines, const char* why);
     void clean_strays();
@@ -66,6 +78,8 @@
     std::map<supply::Kind, std::uint32_t> renting_;
     std::uint64_t next_hire_ = 0;
     bool cleaning_ = false;
+    std::map<std::string, Arrivals> arrivals_;
+    std::map<MachineId, std::string> reserved_;
 };
 
 }  // namespace zd
--- a/src/wire/peer.h
+++ b/src/wire/peer.h
@@ -92,8 +92,16 @@
 struct Gone {
     std::vector<MachineId> machines;
 };
+// Supplier to all: machines kept for a class of jobs that cannot wait for a boot.
+struct ReservedMachine {
+    MachineId machine;
+    std::string job_class;
+};
+struct Reserve {
+    std::vector<ReservedMachine> machines;
+};
 using PeerMessage =
-    std::variant<Hello, Beat, Ask, Offers, Verdict, Unplaced, Drain, Drained, Gone>;
+    std::variant<Hello, Beat, Ask, Offers, Verdict, Unplaced, Drain, Drained, Gone, Reserve>;
 
 // The whole frame, length included.
 std::string encode(const PeerMessage& m);
--- a/tests/units_test.cpp
+++ b/tests/units_test.cpp
@@ -194,7 +194,7 @@
     EXPECT_EQ(p.rent.begin()->second, 2U);
     EXPECT_FALSE(p.rent.begin()->first.spot);
     // Patient work takes turns on what is there.
-    in.bins.push_back({MachineId("host-1"), "small", "a", false, {{0, {4000, 0, 16000}}}, false});
+    in.bins.push_back({MachineId("host-1"), "small", "a", false, {{0, {4000, 0, 16000}}}, false, {}});
     in.demands[0].patience_s = 60;
     p = supply::make_plan(in);
     EXPECT_TRUE(p.rent.empty());
