Shorter task cycles: held check-ins, retry when room frees; yielding reservations; calmer health

Causes: a finished short task's successor waited for the next check-in (about 1.5 s of a 15 s run) and for the 0.4 s pause after a round without room; the pause's key held exact amounts, so every job of a burst asked anew; nodes left the load balancer's list one by one at the start of an outage. Saving tasks may now use reserved machines and are stopped, with time to save, when the class needs them.

--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -7,6 +7,7 @@
 namespace zd {
 namespace {
 constexpr Duration beat_every = std::chrono::milliseconds(500);
+constexpr Duration outage_grace = std::chrono::milliseconds(3500);
 constexpr Duration peer_quiet = std::chrono::milliseconds(1800);
 }  // namespace
 
@@ -59,7 +60,9 @@
 
 bool Node::healthy() {
     if (!cluster_.synced() || !api_.ready()) return false;
-    if (store_.reachable()) return true;
+    // An outage for all reaches the nodes one by one: a node that left the list at the first sign of it, while its
+    // peers were not yet aware, would be kept off the list long after.
+    if (store_.lost_for() < outage_grace) return true;
     // When nobody is served, leaving the load balancer's list helps no user and only delays the return to it.
     Mono now = env_.now();
     return std::none_of(peers_.begin(), peers_.end(),
@@ -122,6 +125,8 @@
                 fleet_.on_gone(v);
             } else if constexpr (std::is_same_v<T, wire::Reserve>) {
                 fleet_.on_reserve(v);
+            } else if constexpr (std::is_same_v<T, wire::Preempt>) {
+                fleet_.on_preempt(v);
             }
         },
         m);
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -7,6 +7,7 @@
 namespace zd {
 namespace {
 constexpr Duration hold_limit = std::chrono::milliseconds(2500);
+constexpr Duration hold_answer = std::chrono::milliseconds(700);  // well below the 4 s that a worker waits
 constexpr std::size_t most_machines = 20'000;
 // Two clocks may each be off by 0.05%; the rest covers the timer's own step.
 Duration surely_lapsed(double lease_s) { return seconds(lease_s * 1.002) + millis(100); }
@@ -32,12 +33,37 @@
     const bool newer = r.age > m.age;
     log::debug("event=check_in machine={} session={} seq={} shown={} term={} at={:.3f}", r.machine.v, r.age.session,
                r.age.seq, r.term.v, mine->v, to_s(env_.now().time_since_epoch()));
+    answer(r.machine);  // an older check-in still held: its worker has moved on
+    if (!newer) return reply({200, wire::orders_body(*mine, {}), -1});
+    take_report(m, r, *mine, true);
+    auto orders = orders_for(r.machine, m, r, *mine);
+    if (!orders.empty() || !worth_waiting(r.machine, m, r)) return reply({200, wire::orders_body(*mine, orders), -1});
+    // What it reports (an end, or room) will bring orders in a moment, and its next check-in is a report interval
+    // away: short tasks lost a tenth of their machine to that wait.
+    held_[r.machine] = {r, reply, env_.after(hold_answer, [this, id = r.machine] { answer(id); })};
+}
+
+bool Fleet::worth_waiting(const MachineId& id, const Machine& m, const wire::Report& r) const {
+    if (r.notice_s || !usable(id, m) || !model_.work_waits()) return false;
+    if (std::any_of(r.tasks.begin(), r.tasks.end(), [](const auto& t) { return t.phase == wire::TaskPhase::ended; }))
+        return true;
+    return r.tasks.empty();
+}
+
+// Gives a held check-in its answer, with the orders as they stand now.
+void Fleet::answer(const MachineId& id) {
+    auto it = held_.find(id);
+    if (it == held_.end()) return;
+    Held h = std::move(it->second);
+    held_.erase(it);
+    env_.cancel(h.timer);
+    auto mine = cluster_.term_of(id);
+    auto m = machines_.find(id);
+    if (!mine || m == machines_.end() || h.report.term > *mine) return h.reply({421, "{}", -1});
     std::vector<wire::Order> orders;
-    if (newer) {
-        take_report(m, r, *mine, true);
-        orders = orders_for(r.machine, m, r, *mine);
-    }
-    reply({200, wire::orders_body(*mine, orders), -1});
+    // A newer message, by direct command, may have come meanwhile: then this report's news is old.
+    if (h.report.age == m->second.age) orders = orders_for(id, m->second, h.report, *mine);
+    h.reply({200, wire::orders_body(*mine, orders), -1});
 }
 
 void Fleet::take_report(Machine& m, const wire::Report& r, Term mine, bool checkin) {
@@ -206,7 +232,7 @@
             const auto* type = model_.type(m.type);
             if (type == nullptr || !sched::worth_using(job->spec, *type, model_.types())) continue;
             // A supplier that is gone leaves no reservations behind.
-            if (auto kept = reserved_.find(id); kept != reserved_.end() && kept->second != job->spec.job_class &&
+            if (auto kept = reserved_.find(id); kept != reserved_.end() && !sched::may_use(job->spec, kept->second) &&
                                                 env_.now() - reserved_at_ < seconds(6))
                 continue;
             sched::Candidate c{id, m.zone, free_room(id, m), type->room, false, std::min(m.errors, 5)};
@@ -238,13 +264,18 @@
         starting_[ref] = {a.machine, job->spec.need};
         ledger_.place(ref, a.machine, it->second.zone, [this, ref, round = v.round, m = a.machine](bool placed) {
             starting_.erase(ref);
-            if (placed) return;
+            if (placed) return answer_soon(m);
             send_(round.relay, wire::Unplaced{round, ref.job, {ref.task}});
         });
     }
     if (!again.empty()) send_(v.round.relay, wire::Unplaced{v.round, v.job, std::move(again)});
 }
 
+void Fleet::answer_soon(const MachineId& id) {
+    // One commit often brings several starts: they share the answer.
+    if (held_.contains(id)) env_.after(millis(5), [this, id] { answer(id); });
+}
+
 bool Fleet::empty(const MachineId& id, const Machine& m) const {
     if (!model_.on_machine(id).empty() || !m.tasks.empty()) return false;
     if (std::any_of(holds_.begin(), holds_.end(), [&](const auto& h) { return h.machine == id; })) return false;
@@ -273,7 +304,7 @@
 
 void Fleet::on_reserve(const wire::Reserve& m) {
     reserved_.clear();
-    for (const auto& r : m.machines) reserved_[r.machine] = r.job_class;
+    for (const auto& r : m.machines) reserved_[r.machine] = {r.job_class, r.rank, r.save_ms / 1000.0};
     reserved_at_ = env_.now();
 }
 
@@ -348,7 +379,20 @@
     return out;
 }
 
-void Fleet::preempt(const TaskRef& t, Attempt a) { stops_[{t, a}] = env_.now(); }
+void Fleet::on_preempt(const wire::Preempt& p) {
+    TaskRef ref{p.job, p.task};
+    TaskState t = model_.task(ref);
+    const Job* job = model_.job(p.job);
+    if (job == nullptr || t.at != TaskState::At::placed || t.attempt != p.attempt) return;
+    auto mine = cluster_.term_of(t.machine);
+    auto it = machines_.find(t.machine);
+    if (!mine || it == machines_.end() || !stops_.emplace(std::make_pair(ref, t.attempt), env_.now()).second) return;
+    log::info("event=task_preempted task={} attempt={} machine={} term={}", ref.str(), t.attempt, t.machine.v, mine->v);
+    // Straight to the worker, for speed; every answer to its check-ins repeats it until it is heeded.
+    wire::Order halt{wire::Verb::halt, ref, t.attempt, job->spec.save_s + 3};
+    env_.http(it->second.address, {"POST", "/commands", wire::orders_body(*mine, {halt}, it->second.age.session)},
+              seconds(2), [](const HttpResponse&) {});
+}
 
 void Fleet::sweep() {
     env_.after(millis(500), [this] { sweep(); });
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -36,7 +36,7 @@
     void on_part_gained(std::uint32_t part);
     std::vector<wire::MachineBeat> beats();
     // Stops a task, with time to save if it can.
-    void preempt(const TaskRef& t, Attempt a);
+    void on_preempt(const wire::Preempt& m);
 
   private:
     struct Seen {
@@ -66,12 +66,21 @@
         Mono drain_since{};
         Mono idle_since{};
     };
+    // A check-in whose answer waits a moment for the orders that its news will bring.
+    struct Held {
+        wire::Report report;
+        Reply reply;
+        Env::TimerId timer = 0;
+    };
     struct Hold {
         wire::RoundId round;
         MachineId machine;
         Room room;
         Mono until;
     };
+    void answer(const MachineId& id);
+    void answer_soon(const MachineId& id);
+    bool worth_waiting(const MachineId& id, const Machine& m, const wire::Report& r) const;
     void take_report(Machine& m, const wire::Report& r, Term mine, bool checkin);
     std::vector<wire::Order> orders_for(const MachineId& id, Machine& m, const wire::Report& r, Term mine);
     Room free_room(const MachineId& id, const Machine& m) const;
@@ -90,10 +99,11 @@
     SendPeer send_;
     std::unordered_map<MachineId, Machine> machines_;
     std::vector<Hold> holds_;
+    std::unordered_map<MachineId, Held> held_;
     std::map<TaskRef, std::pair<MachineId, Room>> starting_;  // said yes to, not yet committed
     std::map<std::pair<TaskRef, Attempt>, Mono> stops_;       // asked to stop
     std::map<JobId, std::set<MachineId>> job_errors_;
-    std::map<MachineId, std::string> reserved_;  // by the supplier's latest word
+    std::map<MachineId, sched::Reservation> reserved_;  // by the supplier's latest word
     Mono reserved_at_{};
     std::map<MachineId, std::pair<std::string, std::uint64_t>> addresses_;
 };
--- a/src/jobs/relay.cpp
+++ b/src/jobs/relay.cpp
@@ -13,10 +13,10 @@
 constexpr int rounds_a_tick = 8;            // what one tick may begin
 constexpr Duration tick_every = std::chrono::milliseconds(100);
 
-// Jobs of one kind find room on the same machines.
+// Jobs of one kind find room on the same machines. Their amounts vary from job to job, and are compared apart: a key
+// with the amounts in it let every waiting job of a burst ask anew, and the messages ate the controllers' processors.
 std::string kind_of(const Job& j) {
-    std::string k = std::to_string(j.spec.need.cpu) + "/" + std::to_string(j.spec.need.gpu) + "/" +
-                    std::to_string(j.spec.need.ram) + (j.spec.spot ? "s" : "o");
+    std::string k = j.spec.job_class + (j.spec.spot ? "|s" : "|o");
     if (j.spec.types)
         for (const auto& t : *j.spec.types) k += "," + t;
     if (j.spec.zone) k += "@" + *j.spec.zone;
@@ -74,7 +74,7 @@
 void Relay::tidy() {
     Mono now = env_.now();
     std::erase_if(rounds_, [&](const auto& r) { return now - r.second.since > round_memory; });
-    std::erase_if(no_room_, [&](const auto& r) { return r.second <= now; });
+    std::erase_if(no_room_, [&](const auto& r) { return r.second.until <= now; });
     std::erase_if(waiting_, [&](const auto& w) { return model_.job(w.first) == nullptr; });
 }
 
@@ -82,6 +82,10 @@
     // A node without the state service starts nothing.
     if (!cluster_.synced() || !store_.reachable()) return;
     Mono now = env_.now();
+    if (std::exchange(freed_seen_, model_.freed) != model_.freed) {
+        no_room_.clear();
+        for (auto& [id, w] : waiting_) w.not_before = {};
+    }
     std::vector<const Job*> mine;
     for (const auto& [id, j] : model_.jobs()) {
         if (cluster_.relay_of(j) != settings_.node) continue;
@@ -107,7 +111,7 @@
         std::erase_if(w.asked, [&](const auto& a) { return now - a.second > asked_limit; });
         if (w.not_before > now) continue;
         auto closed = no_room_.find(kind_of(*j));
-        if (closed != no_room_.end() && closed->second > now) continue;
+        if (closed != no_room_.end() && closed->second.until > now && j->spec.need.fits(closed->second.need)) continue;
         if (ask(*j, w)) ++begun;
     }
 }
@@ -200,7 +204,11 @@
     for (TaskIndex t : m.tasks) it->second.asked.erase(t);
     Mono until = env_.now() + millis(400);
     it->second.not_before = until;
-    if (const Job* j = model_.job(m.job)) no_room_[kind_of(*j)] = until;
+    const Job* j = model_.job(m.job);
+    if (j == nullptr) return;
+    Full& f = no_room_[kind_of(*j)];
+    if (f.until <= env_.now() || f.need.fits(j->spec.need)) f.need = j->spec.need;
+    f.until = until;
 }
 
 }  // namespace zd
--- a/src/jobs/relay.h
+++ b/src/jobs/relay.h
@@ -59,7 +59,13 @@
     std::map<JobId, Waiting> waiting_;
     std::map<wire::RoundId, Gathering> rounds_;
     std::uint64_t next_round_ = 0;
-    std::map<std::string, Mono> no_room_;  // kinds of task that found none, and until when not to ask again
+    // What found no room lately: jobs of that kind that need as much or more are not asked for until then.
+    struct Full {
+        Room need;
+        Mono until{};
+    };
+    std::map<std::string, Full> no_room_;
+    std::uint64_t freed_seen_ = 0;
     bool woken_ = false;
 };
 
--- a/src/sched/logic.cpp
+++ b/src/sched/logic.cpp
@@ -15,6 +15,12 @@
                         [&](const auto& o) { return o.room.gpu == 0 && type_allowed(s, o); });
 }
 
+bool yields(const wire::JobSpec& s, const Reservation& r) {
+    return s.rank > r.rank && s.shape == wire::Shape::array && s.checkpoint_s > 0 && s.save_s <= r.save_s;
+}
+
+bool may_use(const wire::JobSpec& s, const Reservation& r) { return s.job_class == r.job_class || yields(s, r); }
+
 bool machine_allowed(const wire::JobSpec& s, const std::optional<std::string>& pin, const std::string& type,
                      const std::string& zone, bool spot) {
     if (s.types && std::find(s.types->begin(), s.types->end(), type) == s.types->end()) return false;
--- a/src/sched/logic.h
+++ b/src/sched/logic.h
@@ -23,6 +23,15 @@
 bool type_allowed(const wire::JobSpec& s, const wire::MachineType& t);
 // GPUs are kept for those who need them, as long as another type would do.
 bool worth_using(const wire::JobSpec& s, const wire::MachineType& t, const std::vector<wire::MachineType>& types);
+// May a task of this job use a machine that is reserved for a class of this rank?
+struct Reservation {
+    std::string job_class;
+    wire::Rank rank = wire::Rank::standard;
+    double save_s = 0;
+};
+bool may_use(const wire::JobSpec& s, const Reservation& r);
+// A task of this job may be stopped for that class, and loses no work by it.
+bool yields(const wire::JobSpec& s, const Reservation& r);
 bool machine_allowed(const wire::JobSpec& s, const std::optional<std::string>& pin, const std::string& type,
                      const std::string& zone, bool spot);
 
--- a/src/store/model.cpp
+++ b/src/store/model.cpp
@@ -89,6 +89,11 @@
     return it == types_.end() ? nullptr : &*it;
 }
 
+bool Model::work_waits() const {
+    return std::any_of(jobs_.begin(), jobs_.end(),
+                       [](const auto& j) { return !j.second.cancelled && j.second.pending() > 0; });
+}
+
 std::uint32_t Model::part_of(const MachineId& m) const {
     return static_cast<std::uint32_t>(XXH64(m.v.data(), m.v.size(), 0) % parts_.size());
 }
@@ -279,6 +284,7 @@
         const bool was = i < p.tasks.size() && p.tasks[i].at == TaskState::At::placed;
         const bool is = i < tasks.size() && tasks[i].at == TaskState::At::placed;
         if (was && (!is || p.tasks[i].machine != tasks[i].machine)) {
+            ++freed;
             auto m = by_machine_.find(p.tasks[i].machine);
             if (m != by_machine_.end()) {
                 m->second.erase(ref);
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -58,6 +58,8 @@
     writes_.set_rate(std::max(1.0, settings_.state_write_rps * share * 0.95));
 }
 
+Duration StoreClient::lost_for() { return reachable() ? Duration(0) : env_.now() - lost_at_; }
+
 void StoreClient::submit(Urgency u, Request r) {
     r.deadline = env_.now() + queue_limit;
     auto& q = queues_[static_cast<std::size_t>(u)];
@@ -105,7 +107,10 @@
     env_.http(settings_.state, std::move(r.http), r.timeout,
               [this, writes = r.writes, done = std::move(r.done)](HttpResponse h) {
                   if (h.status == 0 || h.status == 503) {
-                      if (++fails_ == 2) log::warn("event=state_service_lost status={}", h.status);
+                      if (++fails_ == 2) {
+                          lost_at_ = env_.now();
+                          log::warn("event=state_service_lost status={}", h.status);
+                      }
                   } else {
                       if (fails_ >= 2) log::info("event=state_service_back");
                       fails_ = 0;
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -89,6 +89,8 @@
 
     // False while the service does not answer this node. Whether others are served can't be told from here.
     bool reachable() const { return fails_ < 2; }
+    // For how long it has not answered.
+    Duration lost_for();
     // Part of the budgets that this node may spend: one by the number of nodes that are up.
     void set_share(double share);
     bool fits(const Txn& txn) const;
@@ -110,6 +112,7 @@
     std::array<std::deque<Request>, urgencies> queues_;
     Env::TimerId timer_ = 0;
     int fails_ = 0;
+    Mono lost_at_{};
 };
 
 }  // namespace zd
--- a/src/supply/plan.cpp
+++ b/src/supply/plan.cpp
@@ -18,7 +18,7 @@
     double when = std::numeric_limits<double>::max();
     for (auto& b : bins) {
         if (!sched::machine_allowed(*d.spec, d.pin, b.type, b.zone, b.spot)) continue;
-        if (!b.reserved_for.empty() && b.reserved_for != d.spec->job_class) continue;
+        if (b.reserved && !sched::may_use(*d.spec, *b.reserved)) continue;
         auto kind = std::find_if(types.begin(), types.end(), [&](const auto& t) { return t.name == b.type; });
         if (kind == types.end() || !sched::worth_using(*d.spec, *kind, types)) continue;
         for (std::size_t i = 0; i < b.slots.size(); ++i)
--- a/src/supply/plan.h
+++ b/src/supply/plan.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "base/settings.h"
+#include "sched/logic.h"
 #include "store/model.h"
 #include "wire/json_api.h"
 
@@ -23,7 +24,7 @@
     bool spot = false;
     std::vector<Slot> slots;
     bool used = false;  // the plan puts waiting work here
-    std::string reserved_for = {};  // class of jobs that it is kept for; empty: any
+    std::optional<sched::Reservation> reserved = {};
 };
 // Waiting tasks of one job.
 struct Demand {
--- a/src/supply/supply.cpp
+++ b/src/supply/supply.cpp
@@ -243,7 +243,9 @@
     const WallMs wall = env_.wall();
     for (const auto& [id, j] : model_.jobs())
         if (!j.cancelled) arrivals_[j.spec.job_class].note(j.spec, j.submitted, j.pinned_zone);
-    std::map<MachineId, std::string> chosen;
+    std::map<MachineId, sched::Reservation> chosen;
+    const Mono now = env_.now();
+    std::erase_if(clearing_, [&](const auto& c) { return now - c.second > seconds(12); });
     std::vector<supply::Demand> standing;
     for (auto& [name, a] : arrivals_) {
         a.forget(wall);
@@ -262,8 +264,9 @@
             if (d.spec->job_class == name) waiting += d.tasks;
         std::vector<std::pair<int, supply::Bin*>> order;
         std::size_t running = 0;
+        const sched::Reservation mark{name, a.spec.rank, std::min(within * 0.4, 10.0)};
         for (auto& b : in.bins) {
-            if (b.id.empty() || !b.reserved_for.empty() || !sched::machine_allowed(a.spec, a.pin, b.type, b.zone, b.spot)) continue;
+            if (b.id.empty() || b.reserved || !sched::machine_allowed(a.spec, a.pin, b.type, b.zone, b.spot)) continue;
             const auto* t = model_.type(b.type);
             if (t == nullptr || !t->room.fits(a.spec.need)) continue;
             bool runs = false;
@@ -276,23 +279,63 @@
         std::stable_sort(order.begin(), order.end(), [](const auto& x, const auto& y) { return x.first < y.first; });
         const std::size_t want = running + waiting + ready;
         for (std::size_t i = 0; i < std::min(want, order.size()); ++i) {
-            order[i].second->reserved_for = name;
-            chosen[order[i].second->id] = name;
+            order[i].second->reserved = mark;
+            chosen[order[i].second->id] = mark;
         }
+        const std::size_t yielding = make_room(order, std::min(want, order.size()), waiting, a.spec, mark);
         supply::Demand d;
         d.spec = &a.spec;
         d.pin = a.pin;
-        d.tasks = static_cast<TaskIndex>(ready);
+        d.tasks = static_cast<TaskIndex>(ready - std::min(ready, yielding));
         d.run_s = std::max(1.0, a.spec.estimate_s);
         standing.push_back(std::move(d));
     }
     for (auto& d : standing) in.demands.push_back(std::move(d));
     reserved_ = chosen;
     wire::Reserve m;
-    for (const auto& [id, c] : chosen) m.machines.push_back({id, c});
+    for (const auto& [id, r] : chosen)
+        m.machines.push_back({id, r.job_class, r.rank, static_cast<std::uint32_t>(r.save_s * 1000)});
     for (const auto& n : settings_.all_nodes()) send_(n, m);
 }
 
+// Among the first `n` of the machines kept for a class, clears as many as its waiting tasks lack; returns how many
+// more could be cleared without loss of work.
+std::size_t Supply::make_room(const std::vector<std::pair<int, supply::Bin*>>& order, std::size_t n, std::size_t waiting,
+                              const wire::JobSpec& spec, const sched::Reservation& r) {
+    std::size_t yielding = 0;
+    std::vector<MachineId> can;
+    for (std::size_t i = 0; i < n; ++i) {
+        const supply::Bin& b = *order[i].second;
+        const auto& placed = model_.on_machine(b.id);
+        const bool free_now = std::any_of(b.slots.begin(), b.slots.end(), [&](const auto& s) {
+            return s.free_at <= 0 && s.room.fits(spec.need);
+        });
+        if (free_now || clearing_.contains(b.id)) {
+            if (waiting > 0) --waiting;
+            continue;
+        }
+        if (!placed.empty() && std::all_of(placed.begin(), placed.end(), [&](const auto& ref) {
+                const Job* j = model_.job(ref.job);
+                return j != nullptr && sched::yields(j->spec, r);
+            }))
+            can.push_back(b.id);
+    }
+    for (const auto& id : can) {
+        if (waiting == 0) {
+            ++yielding;
+            continue;
+        }
+        --waiting;
+        clearing_[id] = env_.now();
+        auto k = known_.find(id);
+        for (const auto& ref : model_.on_machine(id)) {
+            log::info("event=preempt task={} machine={} for_class={}", ref.str(), id.v, r.job_class);
+            if (k != known_.end()) send_(k->second.owner, wire::Preempt{ref.job, ref.task, model_.task(ref).attempt});
+        }
+    }
+    return yielding;
+}
+
 void Supply::Arrivals::note(const wire::JobSpec& s, WallMs at, const std::optional<std::string>& zone) {
     if (times.contains({at, s.id})) return;
     if (times.empty() || at > times.rbegin()->first) {
--- a/src/supply/supply.h
+++ b/src/supply/supply.h
@@ -58,6 +58,8 @@
     void read_list(const std::string& after, std::set<MachineId> seen);
     void plan();
     void reserve(supply::PlanInput& in);
+    std::size_t make_room(const std::vector<std::pair<int, supply::Bin*>>& order, std::size_t n, std::size_t waiting,
+                          const wire::JobSpec& spec, const sched::Reservation& r);
     void rent(const supply::Kind& k, std::uint32_t count);
     void give_back(std::vector<MachineId> machines, const char* why);
     void clean_strays();
@@ -79,7 +81,8 @@
     std::uint64_t next_hire_ = 0;
     bool cleaning_ = false;
     std::map<std::string, Arrivals> arrivals_;
-    std::map<MachineId, std::string> reserved_;
+    std::map<MachineId, sched::Reservation> reserved_;
+    std::map<MachineId, Mono> clearing_;  // its tasks were asked to make room
 };
 
 }  // namespace zd
--- a/src/wire/peer.cpp
+++ b/src/wire/peer.cpp
@@ -126,7 +126,8 @@
     else if constexpr (std::is_same_v<T, Verdict>) { a(m.round); a(m.job); a(m.yes); }
     else if constexpr (std::is_same_v<T, Unplaced>) { a(m.round); a(m.job); a(m.tasks); }
     else if constexpr (std::is_same_v<T, Drain> || std::is_same_v<T, Drained>) { a(m.machine); }
-    else if constexpr (std::is_same_v<T, ReservedMachine>) { a(m.machine); a(m.job_class); }
+    else if constexpr (std::is_same_v<T, ReservedMachine>) { a(m.machine); a(m.job_class); a(m.rank); a(m.save_ms); }
+    else if constexpr (std::is_same_v<T, Preempt>) { a(m.job); a(m.task); a(m.attempt); }
     else if constexpr (std::is_same_v<T, Reserve>) { a(m.machines); }
     else { static_assert(std::is_same_v<T, Gone>); a(m.machines); }
 }
--- a/src/wire/peer.h
+++ b/src/wire/peer.h
@@ -93,15 +93,24 @@
     std::vector<MachineId> machines;
 };
 // Supplier to all: machines kept for a class of jobs that cannot wait for a boot.
+// Others may use them on sufferance: tasks of lower rank that save within `save_ms` when they are stopped.
 struct ReservedMachine {
     MachineId machine;
     std::string job_class;
+    Rank rank = Rank::standard;
+    std::uint32_t save_ms = 0;
 };
 struct Reserve {
     std::vector<ReservedMachine> machines;
 };
+// Supplier to owner: stop this task, with time to save, for work of higher rank.
+struct Preempt {
+    JobId job;
+    TaskIndex task = 0;
+    Attempt attempt = 0;
+};
 using PeerMessage =
-    std::variant<Hello, Beat, Ask, Offers, Verdict, Unplaced, Drain, Drained, Gone, Reserve>;
+    std::variant<Hello, Beat, Ask, Offers, Verdict, Unplaced, Drain, Drained, Gone, Reserve, Preempt>;
 
 // The whole frame, length included.
 std::string encode(const PeerMessage& m);
