--- a/src/jobs/relay.cpp
+++ b/src/jobs/relay.cpp
@@ -8,6 +8,7 @@
 namespace {
 constexpr Duration gather_wait = std::chrono::milliseconds(300);  // from the first reply
 constexpr Duration asked_limit = std::chrono::seconds(4);         // a round unheard of for so long is asked again
+constexpr Duration stuck_limit = std::chrono::seconds(4);          // without room before another relay is tried
 constexpr Duration round_memory = std::chrono::seconds(6);
 constexpr std::size_t batch = 64;           // tasks of a job in one message
 constexpr int rounds_a_tick = 8;            // what one tick may begin
@@ -38,10 +39,10 @@
         return;
     }
     auto w = waiting_.find(id);
-    if (w != waiting_.end())
-        std::erase_if(w->second.asked, [&](const auto& a) {
+    if (w != waiting_.end() && std::erase_if(w->second.asked, [&](const auto& a) {
             return model_.task({id, a.first}).at != TaskState::At::pending;
-        });
+        }) > 0)
+        w->second.stuck_since = {};
     if (!woken_) {
         woken_ = true;
         env_.after(millis(5), [this] {
@@ -109,6 +110,7 @@
         if (begun >= rounds_a_tick) break;
         Waiting& w = waiting_[j->spec.id];
         std::erase_if(w.asked, [&](const auto& a) { return now - a.second > asked_limit; });
+        if (hand_over(*j, w)) continue;
         if (w.not_before > now) continue;
         auto closed = no_room_.find(kind_of(*j));
         if (closed != no_room_.end() && closed->second.until > now && j->spec.need.fits(closed->second.need)) continue;
@@ -116,6 +118,29 @@
     }
 }
 
+// A relay that reaches the state service but not its peers can use only its own machines: what finds no room there goes
+// to a controller that may reach more.
+bool Relay::hand_over(const Job& j, Waiting& w) {
+    const Mono now = env_.now();
+    if (w.stuck_since == Mono{} || now - w.stuck_since < stuck_limit || now - w.handed_over < stuck_limit) return false;
+    auto near = reachable_();
+    std::vector<NodeName> others;
+    for (const auto& n : cluster_.live())
+        if (std::find(near.begin(), near.end(), n) == near.end()) others.push_back(n);
+    if (others.empty()) return false;
+    w.handed_over = now;
+    Job moved = j;
+    moved.relay = Cluster::pick(j.spec.id.v, others);
+    const std::string key = keys::job(j.spec.id);
+    const Json value = Model::encode_job(moved);
+    store_.commit({{{key, j.version}}, {{key, value, std::nullopt}}}, Urgency::decision, [this, key, value, moved](CommitResult r) {
+        if (r.outcome != Outcome::ok) return;  // the watch tells what became of it
+        log::info("event=job_handed_over job={} to={} revision={}", moved.spec.id.v, moved.relay.v, r.revision.v);
+        model_.apply({key, value, r.revision});
+    });
+    return true;
+}
+
 bool Relay::ask(const Job& j, Waiting& w) {
     const bool gang = j.spec.shape == wire::Shape::gang;
     if (gang && !w.asked.empty()) return false;
@@ -203,6 +228,7 @@
     if (it == waiting_.end()) return;
     for (TaskIndex t : m.tasks) it->second.asked.erase(t);
     Mono until = env_.now() + millis(400);
+    if (it->second.stuck_since == Mono{}) it->second.stuck_since = env_.now();
     it->second.not_before = until;
     const Job* j = model_.job(m.job);
     if (j == nullptr) return;
--- a/src/jobs/relay.h
+++ b/src/jobs/relay.h
@@ -30,7 +30,8 @@
     struct Waiting {
         std::map<TaskIndex, Mono> asked;  // in a round, or said yes to and not yet seen placed
         Mono not_before{};
-        int misses = 0;
+        Mono stuck_since{};  // tasks found no room since then
+        Mono handed_over{};
     };
     struct Gathering {
         JobId job;
@@ -46,6 +47,7 @@
     void tick();
     void plan();
     bool ask(const Job& j, Waiting& w);
+    bool hand_over(const Job& j, Waiting& w);
     void decide(const wire::RoundId& id);
     void tidy();
     Env& env_;
--- a/tests/stories_test.cpp
+++ b/tests/stories_test.cpp
@@ -260,7 +260,12 @@
     w.run(3);
     w.link("n0", "n1", Link::drop);
     w.link("n0", "n2", Link::drop);
-    auto ids = submit_some(w, 1, 4, 5);
+    // More than the cut-off relay's own machines will take: it hands its jobs over rather than leave them waiting.
+    std::vector<std::string> ids;
+    for (int i = 1; i <= 6; ++i) {
+        ids.push_back(id_of(i));
+        w.submit(w.job(id_of(i), 5, 1, 6), 0);
+    }
     EXPECT_TRUE(told_all(w, ids, 150));
     expect_rules(w);
 }
