--- a/src/sched/logic.cpp
+++ b/src/sched/logic.cpp
@@ -98,7 +98,7 @@
 }
 
 std::optional<Attempt> next_attempt(const Job& j, const TaskState& t) {
-    if (j.spec.shape == wire::Shape::array) return t.attempt + 1;
+    if (j.spec.shape != wire::Shape::gang) return t.attempt + 1;
     GangState g = gang_state(j);
     if (g.failed) {
         // Tasks of the failed attempt are still out there: the next one waits for all of them.
--- a/src/supply/supply.cpp
+++ b/src/supply/supply.cpp
@@ -209,7 +209,8 @@
         d.spec = &j->spec;
         d.pin = j->pinned_zone;
         d.tasks = static_cast<TaskIndex>(n);
-        d.run_s = std::max(1.0, j->spec.estimate_s);
+        // A service frees its room only when it is cancelled: nothing is planned after it.
+        d.run_s = j->spec.shape == wire::Shape::service ? 1e6 : std::max(1.0, j->spec.estimate_s);
         d.patience_s = patient;
         in.demands.push_back(std::move(d));
     }
--- a/src/wire/json_api.cpp
+++ b/src/wire/json_api.cpp
@@ -49,6 +49,7 @@
     return v.get<std::uint64_t>();
 }
 
+constexpr const char* shape_names[] = {"batch", "group", "service"};
 constexpr const char* rank_names[] = {"critical", "high", "standard", "best_effort"};
 constexpr const char* phase_names[] = {"queued", "running", "done", "withdrawn"};
 constexpr const char* task_phase_names[] = {"fetching", "waiting", "running", "saving", "ended"};
@@ -70,8 +71,9 @@
     s.job_class = text(j, "ilk");
     s.team = TeamName(text(j, "crew"));
     std::string shape = text(j, "shape");
-    if (shape != "batch" && shape != "group") throw Bad{"shape must be batch or group"};
-    s.shape = shape == "group" ? Shape::gang : Shape::array;
+    int shape_index = index_of(shape_names, shape);
+    if (shape_index < 0) throw Bad{"shape must be batch, group or service"};
+    s.shape = static_cast<Shape>(shape_index);
     int rank = index_of(rank_names, text(j, "rank"));
     if (rank < 0) throw Bad{"rank is not known"};
     s.rank = static_cast<Rank>(rank);
@@ -94,7 +96,8 @@
     s.one_zone = flag(j, "one_zone");
     s.spread = flag(j, "apart");
     s.spot = flag(j, "loaners");
-    s.estimate_s = amount(j, "guess_s", true);
+    // Nobody can estimate how long a service runs.
+    if (s.shape != Shape::service || find(j, "guess_s") != nullptr) s.estimate_s = amount(j, "guess_s", true);
     s.checkpoint_s = amount(j, "mark_every_s", true);
     s.save_s = amount(j, "stow_s", true);
     if (const Json* d = find(j, "due_s")) s.deadline_s = amount(*d, "due_s");
@@ -173,7 +176,7 @@
     Json j = {{"uid", s.id.v},
               {"ilk", s.job_class},
               {"crew", s.team.v},
-              {"shape", s.shape == Shape::gang ? "group" : "batch"},
+              {"shape", shape_names[static_cast<int>(s.shape)]},
               {"rank", rank_names[static_cast<int>(s.rank)]},
               {"shards", s.tasks},
               {"vcpus", whole_gb(s.need.cpu)},
--- a/src/wire/json_api.h
+++ b/src/wire/json_api.h
@@ -11,7 +11,8 @@
 namespace zd::wire {
 using Json = nlohmann::json;
 
-enum class Shape : std::uint8_t { array, gang };
+// A service's tasks are independent like an array's, and run until the job is cancelled.
+enum class Shape : std::uint8_t { array, gang, service };
 enum class Rank : std::uint8_t { critical = 0, high = 1, standard = 2, best_effort = 3 };
 enum class Phase : std::uint8_t { queued, running, done, cancelled };
 
--- a/tests/stories_test.cpp
+++ b/tests/stories_test.cpp
@@ -67,6 +67,22 @@
     EXPECT_TRUE(w.workers().empty());
 }
 
+TEST(Story, ServiceRunsUntilCancelled) {
+    World w;
+    w.run(3);
+    Json service = w.job(id_of(1), 3, 1, 10'000);
+    service["shape"] = "service";
+    service.erase("guess_s");
+    w.submit(service);
+    ASSERT_TRUE(w.run_until([&] { return w.on_machines(id_of(1)) == 3; }, 60));
+    w.run(60);
+    EXPECT_EQ(w.on_machines(id_of(1)), 3);
+    w.cancel(id_of(1));
+    EXPECT_TRUE(told_all(w, {id_of(1)}, 20));
+    EXPECT_TRUE(w.run_until([&] { return w.on_machines(id_of(1)) == 0; }, 10));
+    expect_rules(w);
+}
+
 TEST(Story, TeamLimitHolds) {
     World w;
     w.run(3);
