--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -9,11 +9,14 @@
 constexpr Duration beat_every = std::chrono::milliseconds(500);
 constexpr Duration outage_grace = std::chrono::milliseconds(3500);
 constexpr Duration peer_quiet = std::chrono::milliseconds(1800);
+constexpr double demand_scale = 100;  // in a beat's whole number
 }  // namespace
 
 Node::Node(Env& env, const Settings& settings, const Policy& policy)
     : env_(env), settings_(settings), model_(settings), store_(env, settings), cloud_(env, settings),
-      cluster_(env, settings, store_, model_), ledger_(env, settings, store_, model_, cluster_),
+      cluster_(env, settings, store_, model_), ledger_(env, settings, store_, model_, cluster_,
+              [this](const NodeName& to, wire::PeerMessage m) { send(to, std::move(m)); },
+              [this](const NodeName& n) { return near(n); }),
       fleet_(env, settings, model_, cluster_, ledger_,
              [this](const NodeName& to, wire::PeerMessage m) { send(to, std::move(m)); }),
       api_(env, settings, store_, model_, cluster_),
@@ -27,6 +30,7 @@
 
 void Node::start() {
     cluster_.start();
+    ledger_.start();
     fleet_.start();
     relay_.start();
     supply_.start();
@@ -44,17 +48,26 @@
 
 void Node::beat() {
     env_.after(beat_every, [this] { beat(); });
-    wire::Beat b{store_.reachable(), model_.seen.v, fleet_.beats()};
+    const double demand = ledger_.demand();
+    std::map<NodeName, double> heard;
+    for (const auto& [n, p] : peers_)
+        if (near(n)) heard[n] = p.write_demand;
+    if (cluster_.synced()) cluster_.share_writes(demand, heard);
+    wire::Beat b{store_.reachable(), model_.seen.v, static_cast<std::uint32_t>(demand * demand_scale), fleet_.beats()};
     supply_.on_beat(settings_.node, b);
     std::string frame = wire::encode(b);
     for (const auto& s : settings_.seeds) env_.send_peer(s.node, frame);
 }
 
+bool Node::near(const NodeName& n) {
+    auto p = peers_.find(n);
+    return p != peers_.end() && p->second.store_ok && env_.now() - p->second.heard < peer_quiet;
+}
+
 std::vector<NodeName> Node::reachable() {
     std::vector<NodeName> out{settings_.node};
-    Mono now = env_.now();
     for (const auto& [n, p] : peers_)
-        if (now - p.heard < peer_quiet && p.store_ok) out.push_back(n);
+        if (near(n)) out.push_back(n);
     return out;
 }
 
@@ -64,9 +77,7 @@
     // peers were not yet aware, would be kept off the list long after.
     if (store_.lost_for() < outage_grace) return true;
     // When nobody is served, leaving the load balancer's list helps no user and only delays the return to it.
-    Mono now = env_.now();
-    return std::none_of(peers_.begin(), peers_.end(),
-                        [&](const auto& p) { return now - p.second.heard < peer_quiet && p.second.store_ok; });
+    return std::none_of(peers_.begin(), peers_.end(), [&](const auto& p) { return near(p.first); });
 }
 
 void Node::on_request(HttpRequest req, const Reply& reply) {
@@ -96,6 +107,14 @@
                 {"revision", model_.seen.v},
                 {"jobs", model_.jobs().size()},
                 {"ledger_queue", ledger_.queued()},
+                {"ledger",
+                 {{"commits", ledger_.counts().commits},
+                  {"pages", ledger_.counts().pages},
+                  {"starts", ledger_.counts().starts},
+                  {"ends", ledger_.counts().ends},
+                  {"conflicts", ledger_.counts().conflicts},
+                  {"sent_home", ledger_.counts().sent_home},
+                  {"taken_back", ledger_.counts().taken_back}}},
                 {"parts", std::move(parts)}}
         .dump();
 }
@@ -105,7 +124,7 @@
         [&](const auto& v) {
             using T = std::decay_t<decltype(v)>;
             if constexpr (std::is_same_v<T, wire::Beat>) {
-                peers_[from] = {env_.now(), v.store_ok};
+                peers_[from] = {env_.now(), v.store_ok, v.write_demand / demand_scale};
                 fleet_.on_beat(v);
                 supply_.on_beat(from, v);
             } else if constexpr (std::is_same_v<T, wire::Ask>) {
@@ -125,6 +144,14 @@
                 fleet_.on_gone(v);
             } else if constexpr (std::is_same_v<T, wire::Reserve>) {
                 fleet_.on_reserve(v);
+            } else if constexpr (std::is_same_v<T, wire::Settle>) {
+                ledger_.on_settle(from, v);
+            } else if constexpr (std::is_same_v<T, wire::Settled>) {
+                ledger_.on_settled(v);
+            } else if constexpr (std::is_same_v<T, wire::Freed>) {
+                relay_.on_freed(v);
+            } else if constexpr (std::is_same_v<T, wire::Sighted>) {
+                fleet_.on_sighted(v);
             } else if constexpr (std::is_same_v<T, wire::Preempt>) {
                 fleet_.on_preempt(v);
             }
--- a/src/app/node.h
+++ b/src/app/node.h
@@ -31,6 +31,7 @@
     void beat();
     void send(const NodeName& to, wire::PeerMessage m);
     std::vector<NodeName> reachable();
+    bool near(const NodeName& n);
     bool healthy();
     std::string status();
     Env& env_;
@@ -38,6 +39,7 @@
     struct Peer {
         Mono heard{};
         bool store_ok = false;
+        double write_demand = 0;
     };
     std::map<NodeName, Peer> peers_;
     Model model_;
--- a/src/cluster/cluster.cpp
+++ b/src/cluster/cluster.cpp
@@ -65,27 +65,61 @@
     return among.empty() ? j.relay : pick(j.spec.id.v, among);
 }
 
+NodeName Cluster::home_of(const Job& j) const {
+    const Team* t = model_.team_settings(j.spec.team);
+    if (t == nullptr || !t->limited()) return relay_of(j);
+    auto among = live();
+    return among.empty() ? settings_.node : pick(keys::team(j.spec.team), among);
+}
+
+// Half of the write budget is split evenly, the rest by demand: with a fixed split one node's jobs waited for writes
+// while half of the budget was never used. Peers not heard from count as average ones.
+void Cluster::share_writes(double mine, const std::map<NodeName, double>& heard) {
+    double sum = mine;
+    std::size_t n = 1, silent = 0;
+    for (const auto& [node, v] : model_.nodes()) {
+        if (node == settings_.node) continue;
+        ++n;
+        if (auto h = heard.find(node); h != heard.end()) sum += h->second;
+        else ++silent;
+    }
+    sum += sum / static_cast<double>(n - silent) * static_cast<double>(silent);
+    const double even = 1.0 / static_cast<double>(n);
+    write_share_ = sum > 0 ? 0.5 * even + 0.5 * mine / sum : even;
+    store_.set_share(even, write_share_);
+}
+
 void Cluster::acquire_session() {
+    if (std::exchange(acquiring_, true)) return;
+    registered_ = false;
+    request_grant();
+}
+
+void Cluster::request_grant() {
     store_.grant(life_, [this](Outcome o, std::uint64_t id) {
         if (o != Outcome::ok) {
-            env_.after(millis(250), [this] { acquire_session(); });
+            env_.after(millis(250), [this] { request_grant(); });
             return;
         }
+        acquiring_ = false;
         grant_ = id;
         register_node();
+        if (!std::exchange(renewing_, true)) env_.after(life_ / 4, [this] { renew(); });
     });
 }
 
 void Cluster::register_node() {
+    if (std::exchange(registering_, true)) return;
     Txn txn;
     txn.writes.push_back({keys::node(settings_.node), Json::object(), grant_});
-    store_.commit(txn, Urgency::lease, [this](CommitResult r) {
+    store_.commit(txn, Urgency::lease, [this, grant = grant_](CommitResult r) {
+        registering_ = false;
+        if (grant != grant_) return register_node();  // a new session began meanwhile
         if (r.outcome == Outcome::ok) {
             registered_ = true;
             if (incarnation_ == Revision{}) incarnation_ = r.revision;
             log::info("event=session_open grant={} revision={}", grant_, r.revision.v);
             model_.apply({keys::node(settings_.node), Json::object(), r.revision});
-            env_.after(life_ / 4, [this] { renew(); });
         } else if (r.outcome == Outcome::invalid) {
             acquire_session();  // the grant ended meanwhile
         } else {
@@ -95,12 +129,11 @@
 }
 
 void Cluster::renew() {
-    store_.touch(grant_, [this](Outcome o) {
-        if (o == Outcome::not_found || o == Outcome::invalid) {
-            registered_ = false;
+    const auto grant = grant_;
+    store_.touch(grant, [this, grant](Outcome o) {
+        if ((o == Outcome::not_found || o == Outcome::invalid) && grant == grant_ && !acquiring_) {
             log::warn("event=session_lost grant={}", grant_);
             acquire_session();
-            return;
         }
         env_.after(o == Outcome::ok ? life_ / 4 : millis(250), [this] { renew(); });
     });
@@ -150,8 +183,11 @@
         }
         for (const auto& i : r.items) model_.apply(i);
         model_.seen = std::max(model_.seen, r.revision);
-        // A short pause gathers changes into one answer and keeps the watches from eating the budget.
-        env_.after(r.items.empty() ? millis(1) : millis(30), [this, run] {
+        // A pause gathers changes into one answer. It keeps the watches of all nodes together to a quarter of the request
+        // budget: at a fixed 30 ms those of seven nodes took most of it.
+        const double pause = static_cast<double>(std::max<std::size_t>(1, model_.nodes().size())) /
+                             (settings_.state_rps * 0.25);
+        env_.after(r.items.empty() ? millis(1) : std::clamp(seconds(pause), millis(30), millis(500)), [this, run] {
             if (run == watch_run_) watch();
         });
     });
@@ -159,7 +195,8 @@
 
 void Cluster::changed() {
     if (!synced_) return;
-    store_.set_share(1.0 / static_cast<double>(std::max<std::size_t>(1, model_.nodes().size())));
+    const double even = 1.0 / static_cast<double>(std::max<std::size_t>(1, model_.nodes().size()));
+    store_.set_share(even, write_share_ > 0 ? write_share_ : even);
     for (std::uint32_t k = 0; k < model_.parts().size(); ++k) {
         if (term(k)) {
             if (announced_.insert(k).second && on_part_gained) on_part_gained(k);
@@ -173,6 +210,12 @@
 void Cluster::review() {
     env_.after(millis(100), [this] { review(); });
     if (!synced_ || loading_ || !registered_ || !store_.reachable()) return;
+    // A commit of our life before, held and carried out late, may have tied our record to a grant that then ended.
+    if (!is_live(settings_.node)) {
+        registered_ = false;
+        register_node();
+        return;
+    }
     auto among = live();
     for (std::uint32_t k = 0; k < model_.parts().size(); ++k) {
         const Part& p = model_.parts()[k];
@@ -181,9 +224,12 @@
             continue;
         }
         const NodeName home = all_[k % all_.size()];
+        // What our life before held is ours to claim, whoever the hash names now: back within its session's length, we
+        // look alive to the others, and nobody else would.
         const bool mine = home == settings_.node ||
-                          (!is_live(home) && (p.owner.empty() || p.owner == settings_.node || !is_live(p.owner)) &&
-                           pick(keys::part(k), among) == settings_.node);
+                          (!is_live(home) && (p.owner == settings_.node ||
+                                              ((p.owner.empty() || !is_live(p.owner)) &&
+                                               pick(keys::part(k), among) == settings_.node)));
         // A claim just won is in the model only when the watch brings it.
         auto won = claims_.find(k);
         const bool on_its_way = won != claims_.end() && won->second > model_.version(keys::part(k));
--- a/src/cluster/cluster.h
+++ b/src/cluster/cluster.h
@@ -19,6 +19,8 @@
 
     // The model has been read in full and the watch goes on from there.
     bool synced() const { return synced_; }
+    // Synced, and the state service answers.
+    bool in_touch() const { return synced_ && store_.reachable(); }
     // Term of a part that this process owns, as far as it knows.
     std::optional<Term> term(std::uint32_t part) const;
     std::optional<Term> term_of(const MachineId& m) const { return term(model_.part_of(m)); }
@@ -29,6 +31,11 @@
     bool is_live(const NodeName& n) const { return model_.nodes().contains(n); }
     // The controller that relays the job: the one that accepted it, or while that is away one picked by hash.
     NodeName relay_of(const Job& j) const;
+    // The controller through which a job's starts and ends are committed: its relay, or for a limited team one for all
+    // of the team's jobs. Any other may commit them too; this one does so without conflicts.
+    NodeName home_of(const Job& j) const;
+    // What this node and its peers have to commit, by the latest beats; `heard` leaves out peers that are silent.
+    void share_writes(double mine, const std::map<NodeName, double>& heard);
     // Picks among `among` by the hash of a key: each survivor takes its share.
     static NodeName pick(const std::string& key, const std::vector<NodeName>& among);
     // Unique to this process among all that ever ran: the revision of its first session.
@@ -39,6 +46,7 @@
 
   private:
     void acquire_session();
+    void request_grant();
     void register_node();
     void renew();
     void load(const std::string& after, Revision from);
@@ -53,9 +61,10 @@
     Model& model_;
     std::vector<NodeName> all_;
     std::uint64_t grant_ = 0;
-    bool registered_ = false, loading_ = false, synced_ = false, standing_ = false;
+    bool registered_ = false, registering_ = false, acquiring_ = false, renewing_ = false, loading_ = false, synced_ = false, standing_ = false;
     Revision incarnation_;
     std::uint64_t watch_run_ = 0;
+    double write_share_ = 0;  // 0: one by the number of nodes
     std::map<std::uint32_t, Term> claims_;  // won by this process
     std::set<std::uint32_t> claiming_;
     std::set<std::uint32_t> announced_;
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -9,6 +9,12 @@
 constexpr Duration hold_limit = std::chrono::milliseconds(2500);
 constexpr Duration hold_answer = std::chrono::milliseconds(700);  // well below the 4 s that a worker waits
 constexpr std::size_t most_machines = 20'000;
+constexpr std::size_t most_gone = 4096;
+constexpr std::size_t most_announcements = 24;  // under way at once
+constexpr double elder_wait_s = 5;   // what has waited so long
+constexpr double elder_apart_s = 3;  // and is older by so much goes first,
+constexpr Duration kept_for = std::chrono::milliseconds(1500);  // for so long on each machine
+constexpr int most_orders = 2;                  // answers with the same run before it is given up
 // Two clocks may each be off by 0.05%; the rest covers the timer's own step.
 Duration surely_lapsed(double lease_s) { return seconds(lease_s * 1.002) + millis(100); }
 }  // namespace
@@ -27,16 +33,29 @@
     }
     if (!machines_.contains(r.machine) && machines_.size() >= most_machines)
         return reply({503, "{}", 1});
+    // Copies of reports come late, up to well over a lease: what is older than we know, of a session that surely
+    // lapsed or of a returned machine renews nothing, proves nothing and revives nothing, and gets no orders.
+    auto known = machines_.find(r.machine);
+    const bool stale = gone_.contains(r.machine) ||
+                       (known != machines_.end() &&
+                        (r.age <= known->second.age || known->second.over(r.age.session, *mine)));
+    if (stale) return reply({200, wire::orders_body(*mine, {}), -1});
     Machine& m = machines_[r.machine];
     if (m.first_known == Mono{}) m.first_known = env_.now();
     m.last_heard = env_.now();
-    const bool newer = r.age > m.age;
     log::debug("event=check_in machine={} session={} seq={} shown={} term={} at={:.3f}", r.machine.v, r.age.session,
                r.age.seq, r.term.v, mine->v, to_s(env_.now().time_since_epoch()));
-    answer(r.machine);  // an older check-in still held: its worker has moved on
-    if (!newer) return reply({200, wire::orders_body(*mine, {}), -1});
+    // An older check-in still held: its worker has moved on, and no order in its answer would be executed.
+    if (auto old = held_.find(r.machine); old != held_.end()) {
+        env_.cancel(old->second.timer);
+        Reply abandoned = std::move(old->second.reply);
+        held_.erase(old);
+        abandoned({200, wire::orders_body(*mine, {}), -1});
+    }
     take_report(m, r, *mine, true);
     auto orders = orders_for(r.machine, m, r, *mine);
+    m.answered_seq = r.age.seq;
+    if (!m.ended.empty() || r.tasks.empty()) tell_freed(r.machine, m);
     if (!orders.empty() || !worth_waiting(r.machine, m, r)) return reply({200, wire::orders_body(*mine, orders), -1});
     // What it reports (an end, or room) will bring orders in a moment, and its next check-in is a report interval
     // away: short tasks lost a tenth of their machine to that wait.
@@ -68,11 +87,18 @@
 
 void Fleet::take_report(Machine& m, const wire::Report& r, Term mine, bool checkin) {
     Mono now = env_.now();
-    if (r.age.session > m.age.session) m.met.clear();
     if (m.term_of_proof != mine) {
         m.term_of_proof = mine;
-        m.term_shown = m.reported = false;
+        m.term_shown = m.reported = m.hears = false;
+    }
+    // A new session begins when no answer arrived for a lease, however many we wrote.
+    if (r.age.session > m.age.session) {
+        m.hears = false;
+        m.answered_seq = 0;
     }
+    if (r.term == mine && !m.term_shown) m.hears = true;
+    if (checkin && m.answered_seq > 0 && r.age.seq == m.answered_seq + 1) m.hears = true;
+    if (checkin && m.hears) m.last_good = now;
     m.age = r.age;
     m.type = r.type;
     m.zone = r.zone;
@@ -86,8 +112,12 @@
     m.notice_at = now;
     std::map<TaskRef, Seen> old = std::move(m.tasks);
     m.tasks.clear();
+    m.ended.clear();
     for (const auto& t : r.tasks) {
-        if (t.phase == wire::TaskPhase::ended) continue;
+        if (t.phase == wire::TaskPhase::ended) {
+            m.ended.insert({t.task, t.attempt});
+            continue;
+        }
         Seen s{t.phase, t.attempt, now};
         auto it = old.find(t.task);
         if (it != old.end() && it->second.attempt == t.attempt && it->second.phase == t.phase) s.since = it->second.since;
@@ -106,7 +136,9 @@
                                  s.attempt == t.attempt;
         if (placed_here) {
             mentioned.insert(t.task);
-            m.met.insert({t.task, t.attempt});
+            Told& told = m.told[{t.task, t.attempt}];
+            told.session = r.age.session;
+            told.seen = true;
         }
         if (t.phase == wire::TaskPhase::ended) {
             if (!placed_here) {
@@ -120,6 +152,9 @@
                 ledger_.finish(t.task, t.attempt, id);
                 continue;
             }
+            // A failed end is believed only of a report that shows our term. A copy of an older one may be late, and
+            // since then the same attempt may have been ordered again in a new session.
+            if (r.term != mine) continue;
             if (t.cause == wire::Cause::error) note_error(id, m, t.task.job);
             if (t.cause == wire::Cause::no_room || t.cause == wire::Cause::unknown)
                 m.blocked_until = std::max(m.blocked_until, now + seconds(3));
@@ -160,17 +195,38 @@
         // Judged to be over, only not committed yet (the state service may be away): a worker back in a new session
         // must not be told to start it again, or it would run while its successor is started elsewhere.
         if (ledger_.ending(ref, s.attempt)) continue;
-        const bool was_here = m.met.contains({ref, s.attempt});
-        const bool unwanted = job->cancelled || was_here || r.notice_s ||
+        auto told = m.told.find({ref, s.attempt});
+        const bool ordered = told != m.told.end();
+        const bool was_here = ordered && told->second.seen;
+        // The lease it was ordered or seen under is over, or answer after answer with it was lost.
+        const bool never_took = ordered && !was_here &&
+                                (told->second.session < r.age.session || told->second.answers >= most_orders);
+        const bool unwanted = job->cancelled || was_here || never_took || r.notice_s ||
                               (job->spec.shape == wire::Shape::gang && sched::gang_state(*job).failed);
         if (!unwanted) {
+            if (ordered && m.hears) {
+                log::info("event=run_unheeded task={} attempt={} machine={} answers={}", ref.str(), s.attempt, id.v,
+                          told->second.answers);
+                m.hears = false;
+            }
+            // Without the state service nothing is started: the job may be cancelled and the part another's by now.
+            if (!cluster_.in_touch()) continue;
+            Told& t = m.told[{ref, s.attempt}];
+            t.session = r.age.session;
+            ++t.answers;
             orders.push_back({wire::Verb::run, ref, s.attempt, 0});
             continue;
         }
         // Absent from a check-in that shows our term: no order of an earlier owner counts any more, and those
         // in answers of ours to earlier check-ins were executed or dropped before this one was sent.
-        if (r.term == mine) ledger_.release(ref, s.attempt, id, was_here ? "vanished" : "not_started");
+        if (r.term == mine)
+            ledger_.release(ref, s.attempt, id, was_here ? "vanished" : never_took ? "not_taken" : "not_started");
     }
+    if (m.told.size() > 2 * model_.on_machine(id).size() + 32)
+        std::erase_if(m.told, [&](const auto& t) {
+            TaskState s = model_.task(t.first.first);
+            return s.at != TaskState::At::placed || s.machine != id || s.attempt != t.first.second;
+        });
     return orders;
 }
 
@@ -198,8 +254,10 @@
     if (type == nullptr) return {};
     Room free = type->room;
     const auto& placed = model_.on_machine(id);
+    // An end takes a while to be committed; the machine's own word that the task is over frees its room before.
     for (const auto& ref : placed)
-        if (const Job* j = model_.job(ref.job)) free -= j->spec.need;
+        if (const Job* j = model_.job(ref.job); j != nullptr && !m.ended.contains({ref, model_.task(ref).attempt}))
+            free -= j->spec.need;
     // What the worker still reports of others occupies it too.
     for (const auto& [ref, s] : m.tasks)
         if (!placed.contains(ref)) {
@@ -214,20 +272,50 @@
     return free;
 }
 
+void Fleet::tell_freed(const MachineId& id, const Machine& m) {
+    if (!usable(id, m) || !model_.work_waits()) return;
+    const Room free = free_room(id, m);
+    auto [it, first] = freed_.try_emplace(m.type, free);
+    it->second.cpu = std::max(it->second.cpu, free.cpu);
+    it->second.gpu = std::max(it->second.gpu, free.gpu);
+    it->second.ram = std::max(it->second.ram, free.ram);
+    if (freed_.size() > 1 || !first) return;
+    env_.after(millis(25), [this] {
+        for (const auto& [type, room] : std::exchange(freed_, {}))
+            for (const auto& n : settings_.all_nodes()) send_(n, wire::Freed{type, room});
+    });
+}
+
 bool Fleet::usable(const MachineId& id, const Machine& m) const {
     Mono now = env_.now();
     auto mine = cluster_.term_of(id);
-    return mine && m.reported && m.term_of_proof == *mine && !m.notice_s && !m.draining && m.blocked_until <= now &&
+    return mine && m.reported && m.hears && m.term_of_proof == *mine && !m.notice_s && !m.draining && m.blocked_until <= now &&
            now - m.last_heard < seconds(settings_.report_s * 2.5);
 }
 
+// Arrays that have waited a while and come before this job. The relays ask each for its own jobs; without an order
+// among them, what one relay held could wait for minutes while another's newer work took each place that came free.
+std::vector<const Job*> Fleet::elders(const Job& j) const {
+    std::vector<const Job*> out;
+    const WallMs wall = env_.wall();
+    for (const auto& [id, o] : model_.jobs())
+        if (o.spec.shape != wire::Shape::gang && !o.cancelled && o.pending() > 0 &&
+            static_cast<double>(wall.v - o.submitted.v) > elder_wait_s * 1000 &&
+            sched::comes_before(o, j, elder_apart_s + settings_.skew_ms / 500) &&
+            model_.team_has_room(o.spec.team, o.spec.need, 1))
+            out.push_back(&o);
+    return out;
+}
+
 void Fleet::on_ask(const wire::Ask& ask) {
     const Job* job = model_.job(ask.job);
     wire::Offers out{ask.round, ask.job, settings_.node, ask.scorers, false, ask.tasks, {}};
     if (job != nullptr && cluster_.synced() && !job->cancelled) {
         out.whole = job->spec.shape == wire::Shape::gang;
+        const Mono now = env_.now();
+        const auto before = elders(*job);
         std::vector<sched::Candidate> candidates;
-        for (const auto& [id, m] : machines_) {
+        for (auto& [id, m] : machines_) {
             if (!usable(id, m) || !sched::machine_allowed(job->spec, job->pinned_zone, m.type, m.zone, m.spot)) continue;
             const auto* type = model_.type(m.type);
             if (type == nullptr || !sched::worth_using(job->spec, *type, model_.types())) continue;
@@ -237,6 +325,15 @@
                 continue;
             sched::Candidate c{id, m.zone, free_room(id, m), type->room, false, std::min(m.errors, 5)};
             if (!c.free.fits(ask.need)) continue;
+            const bool wanted = std::any_of(before.begin(), before.end(), [&](const Job* o) {
+                return sched::machine_allowed(o->spec, o->pinned_zone, m.type, m.zone, m.spot) &&
+                       c.free.fits(o->spec.need) && sched::worth_using(o->spec, *type, model_.types());
+            });
+            if (wanted) {
+                // Only for a moment: an elder whose relay is away, or that fails everywhere, must not keep it idle.
+                if (m.kept_since == Mono{}) m.kept_since = now;
+                if (now - m.kept_since < kept_for) continue;
+            }
             c.has_image = std::find(m.images.begin(), m.images.end(), ask.image) != m.images.end();
             auto failed = job_errors_.find(ask.job);
             if (failed != job_errors_.end() && failed->second.contains(id)) c.penalty += 2;
@@ -261,6 +358,7 @@
             again.push_back(a.task);
             continue;
         }
+        it->second.kept_since = {};
         starting_[ref] = {a.machine, job->spec.need};
         ledger_.place(ref, a.machine, it->second.zone, [this, ref, round = v.round, m = a.machine](bool placed) {
             starting_.erase(ref);
@@ -295,7 +393,12 @@
 
 void Fleet::on_gone(const wire::Gone& g) {
     for (const auto& id : g.machines) {
-        addresses_.erase(id);
+        if (auto a = addresses_.find(id); a != addresses_.end() && !a->second.asking) addresses_.erase(a);
+        if (gone_.insert(id).second) gone_order_.push_back(id);
+        if (gone_order_.size() > most_gone) {
+            gone_.erase(gone_order_.front());
+            gone_order_.pop_front();
+        }
         for (const auto& ref : std::set<TaskRef>(model_.on_machine(id)))
             ledger_.release(ref, model_.task(ref).attempt, id, "machine_returned");
         if (model_.on_machine(id).empty()) machines_.erase(id);
@@ -304,13 +407,28 @@
 
 void Fleet::on_reserve(const wire::Reserve& m) {
     reserved_.clear();
-    for (const auto& r : m.machines) reserved_[r.machine] = {r.job_class, r.rank, r.save_ms / 1000.0};
+    for (const auto& r : m.machines) reserved_[r.machine] = {r.job_class, r.rank, r.save_ms / 1000.0, r.job};
     reserved_at_ = env_.now();
 }
 
 void Fleet::on_beat(const wire::Beat& b) {
+    const Mono now = env_.now();
     for (const auto& m : b.machines) {
-        if (addresses_.size() < most_machines || addresses_.contains(m.id)) addresses_[m.id] = {m.address, m.session};
+        if (m.address.empty() || gone_.contains(m.id)) continue;
+        if (addresses_.size() >= most_machines && !addresses_.contains(m.id)) continue;
+        Address& a = addresses_[m.id];
+        a.where = m.address;
+        a.session = std::max(a.session, m.session);
+        a.fresh = now;
+    }
+}
+
+void Fleet::on_sighted(const wire::Sighted& m) {
+    for (const auto& s : m.machines) {
+        if (gone_.contains(s.id) || (addresses_.size() >= most_machines && !addresses_.contains(s.id))) continue;
+        Address& a = addresses_[s.id];
+        a.where = s.address;
+        a.fresh = env_.now();
     }
 }
 
@@ -321,30 +439,64 @@
             Machine& m = machines_[id];
             m.first_known = env_.now();
         }
-    // Workers of an owner that can still reach them must learn the new term, or they would stay with it.
-    for (const auto& [id, where] : addresses_)
-        if (model_.part_of(id) == part) announce(id, where.first, where.second, 3);
+    for (auto& [id, a] : addresses_)
+        if (model_.part_of(id) == part) {
+            a.next_try = {};
+            a.tries = 0;
+        }
+    announce_due();
 }
 
-void Fleet::announce(const MachineId& id, const std::string& address, std::uint64_t session, int tries) {
-    auto mine = cluster_.term_of(id);
-    if (!mine || tries <= 0) return;
-    auto known = machines_.find(id);
-    if (known != machines_.end() && known->second.term_shown && known->second.term_of_proof == *mine) return;
-    env_.http(address, {"POST", "/commands", wire::orders_body(*mine, {}, session)}, seconds(2),
-              [this, id, address, session, tries, term = *mine](HttpResponse h) {
+bool Fleet::knows_us(const MachineId& id, Term mine) const {
+    auto m = machines_.find(id);
+    return m != machines_.end() && m->second.term_shown && m->second.term_of_proof == mine;
+}
+
+// Workers of an owner that can still reach them must learn the new term, or they would stay with it. A controller cut
+// off from all but its workers would else keep them, their cancelled tasks included, for as long as the cut lasts.
+void Fleet::announce_due() {
+    const Mono now = env_.now();
+    std::erase_if(addresses_, [&](const auto& a) { return !a.second.asking && now - a.second.fresh > seconds(120); });
+    for (auto& [id, a] : addresses_) {
+        if (asking_ >= most_announcements) return;
+        if (a.asking || a.next_try > now) continue;
+        auto mine = cluster_.term_of(id);
+        if (mine && !knows_us(id, *mine)) announce(id);
+    }
+}
+
+void Fleet::announce(const MachineId& id) {
+    Address& a = addresses_[id];
+    const Term term = *cluster_.term_of(id);
+    a.asking = true;
+    ++asking_;
+    env_.http(a.where, {"POST", "/commands", wire::orders_body(term, {}, a.session)}, seconds(2),
+              [this, id, term](HttpResponse h) {
+                  --asking_;
+                  auto at = addresses_.find(id);
+                  if (at == addresses_.end()) return;
+                  Address& to = at->second;
+                  to.asking = false;
                   auto r = h.status == 200 || h.status == 409 ? wire::parse_report(h.body) : std::nullopt;
-                  if (!r || r->machine != id) {
-                      env_.after(millis(500), [this, id, address, session, tries] {
-                          announce(id, address, session, tries - 1);
-                      });
+                  const bool wrong_session = r && r->machine == id && r->age.session != to.session;
+                  if (wrong_session && to.tries == 0) {
+                      // Told again at once, by the session that the answer shows.
+                      ++to.tries;
+                      to.session = r->age.session;
+                      to.next_try = {};
+                  } else {
+                      if (wrong_session) to.session = r->age.session;
+                      to.next_try = env_.now() + std::min(seconds(4), millis(500) * (1 << std::min(to.tries, 3)));
+                      ++to.tries;
+                  }
+                  if (!r || r->machine != id || r->term != term || cluster_.term_of(id) != term || gone_.contains(id)) {
+                      if (wrong_session) announce_due();
                       return;
                   }
-                  if (cluster_.term_of(id) != term) return;
-                  if (r->term < term) return announce(id, address, r->age.session, tries - 1);
+                  to.tries = 0;
                   Machine& m = machines_[id];
                   if (m.first_known == Mono{}) m.first_known = env_.now();
-                  if (r->age > m.age) {
+                  if (r->age > m.age && !m.over(r->age.session, term)) {
                       take_report(m, *r, term, false);
                       // Its last answered report was sent before this answer: a lease runs from here at most.
                       m.last_heard = std::max(m.last_heard, env_.now());
@@ -360,7 +512,8 @@
         const bool is_empty = empty(id, m);
         if (!is_empty) m.idle_since = now;
         else if (m.idle_since == Mono{}) m.idle_since = now;
-        Mono heard = std::max(m.last_heard, m.first_known);
+        // One that is heard but does not hear us is out of touch all the same.
+        Mono heard = std::max(m.last_good, m.first_known);
         wire::MachineBeat b;
         b.id = id;
         b.type = m.type;
@@ -403,6 +556,7 @@
         return t.at != TaskState::At::placed || t.attempt != s.first.second;
     });
     if (!cluster_.synced()) return;
+    announce_due();
     // A machine that only its committed tasks tell of is watched too: its silence must come to an end.
     for (const auto& [id, placed] : model_.machines())
         if (cluster_.term_of(id)) {
@@ -417,6 +571,9 @@
             // It has shown our term, so nobody else renewed its lease; and that has run out, drift counted.
             log::debug("event=lease_lapsed machine={} heard={:.3f} at={:.3f}", id.v,
                        to_s(m.last_heard.time_since_epoch()), to_s(now.time_since_epoch()));
+            m.lapsed_session = m.age.session;
+            m.lapsed_term = *mine;
+            m.hears = false;
             for (const auto& ref : std::set<TaskRef>(model_.on_machine(id)))
                 ledger_.release(ref, model_.task(ref).attempt, id, "lease_lapsed");
         }
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -31,8 +31,9 @@
     void on_drain(const NodeName& from, const wire::Drain& m);
     void on_gone(const wire::Gone& m);
     void on_reserve(const wire::Reserve& m);
-    // Addresses that other nodes know, for announcing a new term.
+    // Addresses that other nodes or the cloud's list know, for announcing a new term.
     void on_beat(const wire::Beat& m);
+    void on_sighted(const wire::Sighted& m);
     void on_part_gained(std::uint32_t part);
     std::vector<wire::MachineBeat> beats();
     // Stops a task, with time to save if it can.
@@ -44,6 +45,12 @@
         Attempt attempt = 0;
         Mono since{};
     };
+    // What became of an attempt that was committed to this machine.
+    struct Told {
+        std::uint64_t session = 0;  // of the worker, when it was last ordered or shown
+        int answers = 0;            // that carried its run
+        bool seen = false;          // the worker has shown it
+    };
     struct Machine {
         std::string type, zone, address;
         bool spot = false;
@@ -54,7 +61,19 @@
         bool reported = false;           // under our present term, by check-in
         Term term_of_proof;              // the term for which term_shown holds
         std::map<TaskRef, Seen> tasks;   // active ones of the newest report
-        std::set<std::pair<TaskRef, Attempt>> met;  // placed attempts seen on it in this session
+        std::set<std::pair<TaskRef, Attempt>> ended;  // and those it lists as ended: they take no room any more
+        std::map<std::pair<TaskRef, Attempt>, Told> told;
+        // Reports may arrive while nothing gets back to the machine: that an answer was written proves nothing. It
+        // hears us when it shows a term that only we can have told it, or reports to us twice on end in one session
+        // (unanswered, it would have gone to another controller).
+        bool hears = false;
+        Mono last_good{};                   // newest check-in of a machine that hears us
+        std::uint64_t answered_seq = 0;     // newest check-in of this session that was answered
+        // Judged lapsed under that term: what still comes of it is a late copy. Under a later term it may be alive,
+        // since another owner may have renewed it between the two.
+        std::uint64_t lapsed_session = 0;
+        Term lapsed_term;
+        bool over(std::uint64_t session, Term mine) const { return lapsed_term == mine && session <= lapsed_session; }
         std::optional<double> notice_s;
         Mono notice_at{};
         std::deque<std::string> images;  // most recent first
@@ -65,6 +84,7 @@
         NodeName drain_for;
         Mono drain_since{};
         Mono idle_since{};
+        Mono kept_since{};  // its room was refused to a later job for the sake of an earlier one
     };
     // A check-in whose answer waits a moment for the orders that its news will bring.
     struct Held {
@@ -84,10 +104,14 @@
     void take_report(Machine& m, const wire::Report& r, Term mine, bool checkin);
     std::vector<wire::Order> orders_for(const MachineId& id, Machine& m, const wire::Report& r, Term mine);
     Room free_room(const MachineId& id, const Machine& m) const;
+    std::vector<const Job*> elders(const Job& j) const;
+    void tell_freed(const MachineId& id, const Machine& m);
     bool usable(const MachineId& id, const Machine& m) const;
     void note_error(const MachineId& id, Machine& m, const JobId& job);
     void note_image(Machine& m, const std::string& image);
-    void announce(const MachineId& id, const std::string& address, std::uint64_t session, int tries);
+    void announce(const MachineId& id);
+    void announce_due();
+    bool knows_us(const MachineId& id, Term mine) const;
     void sweep();
     void answer_drain(const MachineId& id, Machine& m);
     bool empty(const MachineId& id, const Machine& m) const;
@@ -101,11 +125,24 @@
     std::vector<Hold> holds_;
     std::unordered_map<MachineId, Held> held_;
     std::map<TaskRef, std::pair<MachineId, Room>> starting_;  // said yes to, not yet committed
+    std::map<std::string, Room> freed_;  // by type, to be told in a moment
     std::map<std::pair<TaskRef, Attempt>, Mono> stops_;       // asked to stop
     std::map<JobId, std::set<MachineId>> job_errors_;
     std::map<MachineId, sched::Reservation> reserved_;  // by the supplier's latest word
     Mono reserved_at_{};
-    std::map<MachineId, std::pair<std::string, std::uint64_t>> addresses_;
+    // Where a machine can be told of a new term. Kept for all parts, since a takeover may come at any time.
+    struct Address {
+        std::string where;
+        std::uint64_t session = 1;
+        Mono fresh{}, next_try{};
+        int tries = 0;
+        bool asking = false;
+    };
+    std::map<MachineId, Address> addresses_;
+    std::size_t asking_ = 0;
+    // Returned machines, newest last: a late copy of a report must not bring one back.
+    std::set<MachineId> gone_;
+    std::deque<MachineId> gone_order_;
 };
 
 }  // namespace zd
--- a/src/jobs/ledger.h
+++ b/src/jobs/ledger.h
@@ -1,7 +1,10 @@
-// Commits what happens to tasks: starts before they are ordered, ends before they are told.
+// Commits what happens to tasks: starts before they are ordered, ends before they are told. Those of one job come
+// together at its home (Cluster::home_of), whoever owns the machines: a page of tasks that every owner wrote for itself
+// cost a conflict for each write that counted.
 #pragma once
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -10,6 +13,7 @@
 #include "cluster/cluster.h"
 #include "store/model.h"
 #include "store/store.h"
+#include "wire/peer.h"
 
 namespace zd {
 
@@ -17,7 +21,13 @@
 
 class Ledger {
   public:
-    Ledger(Env& env, const Settings& settings, StoreClient& store, Model& model, Cluster& cluster);
+    using SendPeer = std::function<void(const NodeName&, wire::PeerMessage)>;
+    // `near` tells whether a peer answers and reaches the state service.
+    Ledger(Env& env, const Settings& settings, StoreClient& store, Model& model, Cluster& cluster, SendPeer send,
+           std::function<bool(const NodeName&)> near);
+    void start();
+    void on_settle(const NodeName& from, const wire::Settle& m);
+    void on_settled(const wire::Settled& m);
     using Done = std::function<void(bool placed)>;
     // A start: committed on the conditions that the job is not cancelled, that this node still owns the
     // machine's part and that the team has room.
@@ -32,6 +42,12 @@
     // Turns a job that is over into its final record.
     void close_job(const JobId& id);
     std::size_t queued() const { return ops_; }
+    // How much this node has to commit, smoothed; once for each beat.
+    double demand();
+    struct Counts {
+        std::uint64_t commits = 0, pages = 0, starts = 0, ends = 0, conflicts = 0, sent_home = 0, taken_back = 0;
+    };
+    const Counts& counts() const { return counts_; }
 
   private:
     struct Op {
@@ -46,6 +62,8 @@
         Term term;
         Mono since;
         Done done;
+        NodeName from;              // the owner that sent it here; empty: this node
+        std::uint64_t ticket = 0;   // that owner's name for it
     };
     struct PageKey {
         JobId job;
@@ -56,7 +74,14 @@
     struct Lane {
         std::map<PageKey, std::vector<Op>> ops;
         bool in_flight = false;
-        Env::TimerId timer = 0;
+        std::optional<Mono> due;
+    };
+    // An operation of ours that is at its job's home.
+    struct Remote {
+        JobId job;
+        Op op;
+        NodeName home;
+        Mono asked;
     };
     struct Draft {
         Txn txn;
@@ -64,12 +89,19 @@
         bool urgent = false;
     };
     void enqueue(const TaskRef& t, Op op);
+    void queue(const JobId& job, Op op);
+    void send_outbox();
+    void take_back();
+    void answer(const JobId& job, Op& op, bool done);
+    void send_results(const Txn* txn, Revision r);
     std::string lane_of(const JobId& job, std::uint32_t page) const;
     void schedule(const std::string& lane, Duration d);
-    void flush(const std::string& lane);
-    Draft draft(Lane& lane);
-    bool apply(const Job& j, Op& op, std::vector<TaskState>& tasks, std::uint32_t page, TeamUse& use,
-               std::set<std::uint32_t>& parts);
+    void arm(Mono at);
+    void pump();
+    void flush(const std::string& lane, std::size_t most_writes);
+    Draft draft(Lane& lane, std::size_t most_writes);
+    std::optional<Term> valid_term(const Op& op, std::uint32_t part) const;
+    bool apply(const Job& j, Op& op, std::vector<TaskState>& tasks, std::uint32_t page, TeamUse& use);
     void refresh(const std::string& lane, std::vector<std::string> keys);
     static std::vector<std::string> keys_of(const Txn& txn);
     void adopt(const Txn& txn, Revision r);
@@ -78,7 +110,19 @@
     StoreClient& store_;
     Model& model_;
     Cluster& cluster_;
+    SendPeer send_;
+    std::function<bool(const NodeName&)> near_;
     std::map<std::string, Lane> lanes_;
+    Env::TimerId timer_ = 0;
+    Mono timer_at_{};
+    std::map<std::uint64_t, Remote> remote_;  // by ticket
+    std::map<std::pair<NodeName, JobId>, std::vector<std::uint64_t>> outbox_;
+    bool outbox_armed_ = false, results_armed_ = false;
+    std::uint64_t next_ticket_ = 0;
+    std::map<NodeName, std::vector<wire::SettledOp>> results_;
+    Counts counts_;
+    std::uint64_t pages_told_ = 0;
+    double demand_ = 0;
     std::set<std::pair<TaskRef, std::pair<TaskEvent, Attempt>>> waiting_;
     std::set<JobId> closing_;
     std::size_t ops_ = 0;
--- a/src/jobs/relay.cpp
+++ b/src/jobs/relay.cpp
@@ -43,13 +43,33 @@
             return model_.task({id, a.first}).at != TaskState::At::pending;
         }) > 0)
         w->second.stuck_since = {};
-    if (!woken_) {
-        woken_ = true;
-        env_.after(millis(5), [this] {
-            woken_ = false;
-            plan();
-        });
-    }
+    wake();
+}
+
+void Relay::wake() {
+    if (std::exchange(woken_, true)) return;
+    env_.after(millis(5), [this] {
+        woken_ = false;
+        plan();
+    });
+}
+
+// Only those may ask again whose tasks would fit: when every end woke every waiting job, the rounds of a burst took
+// most of the controllers' processors.
+void Relay::on_freed(const wire::Freed& m) {
+    std::set<std::string> kinds;
+    std::erase_if(no_room_, [&](const auto& e) {
+        const Full& f = e.second;
+        if (!m.room.fits(f.need) ||
+            (f.types && std::find(f.types->begin(), f.types->end(), m.type) == f.types->end()))
+            return false;
+        kinds.insert(e.first);
+        return true;
+    });
+    if (kinds.empty()) return;
+    for (auto& [id, w] : waiting_)
+        if (const Job* j = model_.job(id); j != nullptr && kinds.contains(kind_of(*j))) w.not_before = {};
+    wake();
 }
 
 bool Relay::within_guarantee(const Model& model, const Job& j) {
@@ -83,10 +103,6 @@
     // A node without the state service starts nothing.
     if (!cluster_.synced() || !store_.reachable()) return;
     Mono now = env_.now();
-    if (std::exchange(freed_seen_, model_.freed) != model_.freed) {
-        no_room_.clear();
-        for (auto& [id, w] : waiting_) w.not_before = {};
-    }
     std::vector<const Job*> mine;
     for (const auto& [id, j] : model_.jobs()) {
         if (cluster_.relay_of(j) != settings_.node) continue;
@@ -234,6 +250,7 @@
     if (j == nullptr) return;
     Full& f = no_room_[kind_of(*j)];
     if (f.until <= env_.now() || f.need.fits(j->spec.need)) f.need = j->spec.need;
+    f.types = j->spec.types;
     f.until = until;
 }
 
--- a/src/jobs/relay.h
+++ b/src/jobs/relay.h
@@ -23,6 +23,7 @@
     void on_job(const JobId& id);
     void on_offers(const wire::Offers& m);
     void on_unplaced(const wire::Unplaced& m);
+    void on_freed(const wire::Freed& m);
     // A job's share of its team: true while the team's unfinished earlier jobs and this one fit its guarantee.
     static bool within_guarantee(const Model& model, const Job& j);
 
@@ -45,6 +46,7 @@
         Mono since{};
     };
     void tick();
+    void wake();
     void plan();
     bool ask(const Job& j, Waiting& w);
     bool hand_over(const Job& j, Waiting& w);
@@ -64,10 +66,10 @@
     // What found no room lately: jobs of that kind that need as much or more are not asked for until then.
     struct Full {
         Room need;
+        std::optional<std::vector<std::string>> types;
         Mono until{};
     };
     std::map<std::string, Full> no_room_;
-    std::uint64_t freed_seen_ = 0;
     bool woken_ = false;
 };
 
--- a/src/sched/logic.cpp
+++ b/src/sched/logic.cpp
@@ -19,7 +19,10 @@
     return s.rank > r.rank && s.shape == wire::Shape::array && s.checkpoint_s > 0 && s.save_s <= r.save_s;
 }
 
-bool may_use(const wire::JobSpec& s, const Reservation& r) { return s.job_class == r.job_class || yields(s, r); }
+bool may_use(const wire::JobSpec& s, const Reservation& r) {
+    if (!r.job.empty()) return s.id == r.job;
+    return s.job_class == r.job_class || yields(s, r);
+}
 
 bool machine_allowed(const wire::JobSpec& s, const std::optional<std::string>& pin, const std::string& type,
                      const std::string& zone, bool spot) {
@@ -29,6 +32,11 @@
     return s.spot || !spot;
 }
 
+bool comes_before(const Job& a, const Job& b, double apart_s) {
+    if (a.spec.rank != b.spec.rank) return a.spec.rank < b.spec.rank;
+    return static_cast<double>(b.submitted.v - a.submitted.v) > apart_s * 1000;
+}
+
 std::int64_t score(const Candidate& c, const Room& need, const Room& largest) {
     auto share = [](std::int64_t left, std::int64_t of) { return of > 0 ? left * 1000 / of : 0; };
     std::int64_t room = share(c.free.cpu - need.cpu, largest.cpu) + share(c.free.ram - need.ram, largest.ram);
--- a/src/sched/logic.h
+++ b/src/sched/logic.h
@@ -28,6 +28,7 @@
     std::string job_class;
     wire::Rank rank = wire::Rank::standard;
     double save_s = 0;
+    JobId job = {};  // kept for this one alone
 };
 bool may_use(const wire::JobSpec& s, const Reservation& r);
 // A task of this job may be stopped for that class, and loses no work by it.
@@ -35,6 +36,10 @@
 bool machine_allowed(const wire::JobSpec& s, const std::optional<std::string>& pin, const std::string& type,
                      const std::string& zone, bool spot);
 
+// True when `a` comes before `b` for a place that both could take: by rank, then by age. Ages closer than the clocks'
+// skew and a round of placement are no order.
+bool comes_before(const Job& a, const Job& b, double apart_s);
+
 // Holders of the image first, then the most free room once the task is there.
 std::int64_t score(const Candidate& c, const Room& need, const Room& largest);
 
--- a/src/store/model.cpp
+++ b/src/store/model.cpp
@@ -284,7 +284,6 @@
         const bool was = i < p.tasks.size() && p.tasks[i].at == TaskState::At::placed;
         const bool is = i < tasks.size() && tasks[i].at == TaskState::At::placed;
         if (was && (!is || p.tasks[i].machine != tasks[i].machine)) {
-            ++freed;
             auto m = by_machine_.find(p.tasks[i].machine);
             if (m != by_machine_.end()) {
                 m->second.erase(ref);
--- a/src/store/model.h
+++ b/src/store/model.h
@@ -103,7 +103,6 @@
 
     std::function<void(const JobId&)> on_job;  // a job or one of its pages changed
     std::function<void()> on_cluster;          // nodes, parts or supplier changed
-    std::uint64_t freed = 0;  // counts tasks that left their machines: whoever waits for room may look again
     bool work_waits() const;
     Revision seen;                             // everything up to this revision has been read
 
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -10,6 +10,8 @@
 constexpr Duration queue_limit = std::chrono::milliseconds(2500);
 constexpr Duration watch_hold = std::chrono::seconds(10);
 constexpr std::size_t most_queued = 400;
+constexpr double user_read_share = 0.25;  // of the requests
+constexpr double writes_kept = 1.0;       // not spent on starts and ends, so that a submission need not wait for them
 
 Outcome outcome_of(int status) {
     switch (status) {
@@ -49,13 +51,26 @@
 }
 
 StoreClient::StoreClient(Env& env, const Settings& settings) : env_(env), settings_(settings) {
-    set_share(1.0 / settings.size);
+    set_share(1.0 / settings.size, 1.0 / settings.size);
 }
 
-void StoreClient::set_share(double share) {
+void StoreClient::set_share(double requests, double writes) {
     // A twentieth is left over: the clocks of the nodes and of the service differ.
-    requests_.set_rate(std::max(1.0, settings_.state_rps * share * 0.95));
-    writes_.set_rate(std::max(1.0, settings_.state_write_rps * share * 0.95));
+    const double all = settings_.state_rps * requests * 0.95;
+    requests_.set_rate(std::max(1.0, all * (1 - user_read_share)));
+    user_reads_.set_rate(std::max(1.0, all * user_read_share));
+    writes_.set_rate(std::max(1.0, settings_.state_write_rps * writes * 0.95));
+}
+
+std::size_t StoreClient::writes_free() {
+    Mono now = env_.now();
+    // A bucket too small for both still lets one commit of two writes go when it is full.
+    if (!writes_.has(now, 2 + writes_kept) || !requests_.has(now, 1)) return 0;
+    return static_cast<std::size_t>(std::max(2.0, writes_.tokens() - writes_kept));
+}
+
+Duration StoreClient::writes_free_in(std::size_t n) {
+    return std::max(writes_.until(static_cast<double>(n) + writes_kept), requests_.until(1));
 }
 
 Duration StoreClient::lost_for() { return reachable() ? Duration(0) : env_.now() - lost_at_; }
@@ -82,7 +97,9 @@
                 q.pop_front();
                 continue;
             }
-            const bool one = requests_.has(now, 1), two = r.writes == 0 || writes_.has(now, r.writes);
+            const bool reserved = &q == &queues_[static_cast<std::size_t>(Urgency::user)] && r.writes == 0 &&
+                                  user_reads_.has(now, 1);
+            const bool one = reserved || requests_.has(now, 1), two = r.writes == 0 || writes_.has(now, r.writes);
             if (!one || !two) {
                 Duration wait = std::max(one ? Duration(0) : requests_.until(1),
                                          two ? Duration(0) : writes_.until(r.writes));
@@ -91,10 +108,9 @@
                         timer_ = 0;
                         pump();
                     });
-                if (!one) return;
-                break;  // out of writes: less urgent reads may still go
+                break;  // what is less urgent may still go: out of writes reads can, and users' reads have their share
             }
-            requests_.take(1);
+            (reserved ? user_reads_ : requests_).take(1);
             if (r.writes > 0) writes_.take(r.writes);
             Request out = std::move(r);
             q.pop_front();
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -70,6 +70,8 @@
     bool has(Mono now, double n);
     void take(double n) { tokens_ -= n; }
     void drain() { tokens_ = std::min(tokens_, 0.0); }
+    double tokens() const { return tokens_; }
+    double rate() const { return rate_; }
     Duration until(double n) const;
 
   private:
@@ -91,8 +93,12 @@
     bool reachable() const { return fails_ < 2; }
     // For how long it has not answered.
     Duration lost_for();
-    // Part of the budgets that this node may spend: one by the number of nodes that are up.
-    void set_share(double share);
+    // Parts of the budgets that this node may spend: of the requests one by the number of nodes that are up, of the
+    // writes by what it has to commit against its peers.
+    void set_share(double requests, double writes);
+    // How many writes may go at once, a few left over for submissions and sessions; and when that will be more.
+    std::size_t writes_free();
+    Duration writes_free_in(std::size_t n);
     bool fits(const Txn& txn) const;
 
   private:
@@ -109,6 +115,8 @@
     Env& env_;
     const Settings& settings_;
     TokenBucket requests_, writes_;
+    // Users' reads have a share of their own: no burst of other work may keep every question about a job unanswered.
+    TokenBucket user_reads_;
     std::array<std::deque<Request>, urgencies> queues_;
     Env::TimerId timer_ = 0;
     int fails_ = 0;
--- a/src/supply/supply.cpp
+++ b/src/supply/supply.cpp
@@ -9,6 +9,7 @@
 namespace zd {
 namespace {
 constexpr Duration tick_every = std::chrono::milliseconds(500);
+constexpr double gang_patience_s = 15;  // before machines are kept for a gang
 constexpr Duration fresh_beat = std::chrono::seconds(3);
 }  // namespace
 
@@ -22,7 +23,11 @@
 void Supply::on_beat(const NodeName& from, const wire::Beat& b) {
     Mono now = env_.now();
     for (const auto& m : b.machines) {
-        if (gone_.contains(m.id)) continue;
+        if (gone_.contains(m.id)) {
+            // Its owner missed the word of the return, and still counts tasks on it.
+            if (m.busy_tasks > 0 && cluster_.is_supplier()) send_(from, wire::Gone{{m.id}});
+            continue;
+        }
         known_[m.id] = {m, from, now};
         // A machine that reports is there, whatever the lagging list says: unexpected ones are used or returned.
         if (m.silent || m.address.empty()) continue;
@@ -103,6 +108,7 @@
             r.zone = m.zone;
             r.spot = m.spot;
             r.last_listed = now;
+            r.address = m.address;
             // A list is older than what the machine itself said.
             if (!r.ever_up || m.phase == wire::MachinePhase::failed) r.phase = m.phase;
         }
@@ -111,6 +117,7 @@
             return;
         }
         listed_ = true;
+        tell_sighted();
         // Not listed long after it was: gone. The list proves nothing about its tasks, only what we may count on.
         std::erase_if(rented_, [&](const auto& r) {
             return !seen.contains(r.first) && now - r.second.last_listed > seconds(settings_.list_lag_s * 3 + 5) &&
@@ -119,6 +126,21 @@
     });
 }
 
+void Supply::tell_sighted() {
+    const Mono now = env_.now();
+    wire::Sighted s;
+    for (const auto& [id, r] : rented_) {
+        if (r.phase != wire::MachinePhase::running || r.address.empty() || r.returning) continue;
+        auto k = known_.find(id);
+        if (k != known_.end() && now - k->second.at < fresh_beat && !k->second.beat.silent &&
+            !k->second.beat.address.empty())
+            continue;
+        s.machines.push_back({id, r.address});
+    }
+    if (s.machines.empty()) return;
+    for (const auto& n : settings_.all_nodes()) send_(n, s);
+}
+
 void Supply::plan() {
     Mono now = env_.now();
     supply::PlanInput in;
@@ -238,6 +260,55 @@
     if (!failed.empty()) give_back(std::move(failed), "failed");
 }
 
+// A gang starts whole or not at all: behind smaller work that takes each place as it comes free it would wait for ever.
+// One that has waited too long gets machines of its own, which come free one after another; the longest waiting first.
+void Supply::reserve_for_gangs(supply::PlanInput& in, std::map<MachineId, sched::Reservation>& chosen) {
+    std::vector<const Job*> late;
+    const WallMs wall = env_.wall();
+    for (const auto& [id, j] : model_.jobs())
+        if (j.spec.shape == wire::Shape::gang && !j.cancelled && j.spec.tasks > 1 && j.pending() == j.spec.tasks &&
+            static_cast<double>(wall.v - j.submitted.v) > gang_patience_s * 1000 &&
+            model_.team_has_room(j.spec.team, j.spec.need, j.spec.tasks))
+            late.push_back(&j);
+    std::sort(late.begin(), late.end(), [](const Job* a, const Job* b) {
+        if (a->spec.rank != b->spec.rank) return a->spec.rank < b->spec.rank;
+        return a->submitted < b->submitted;
+    });
+    // Not more than a quarter of what there is stands still for them at once, but always enough for the first.
+    std::size_t left = std::max<std::size_t>(in.bins.size() / 4, late.empty() ? 0 : late.front()->spec.tasks);
+    for (const Job* j : late) {
+        if (j->spec.tasks > left) continue;
+        std::vector<std::pair<double, supply::Bin*>> order;
+        for (auto& b : in.bins) {
+            const auto* t = model_.type(b.type);
+            if (b.id.empty() || b.reserved || t == nullptr || !t->room.fits(j->spec.need) ||
+                !sched::machine_allowed(j->spec, j->pinned_zone, b.type, b.zone, b.spot))
+                continue;
+            // When there will be room for one member, by the slots' expected ends.
+            std::vector<supply::Slot> slots = b.slots;
+            std::sort(slots.begin(), slots.end(), [](const auto& x, const auto& y) { return x.free_at < y.free_at; });
+            Room room;
+            double when = 0;
+            for (const auto& s : slots) {
+                room += s.room;
+                when = s.free_at;
+                if (room.fits(j->spec.need)) break;
+            }
+            // What is kept for it stays so: moving on would begin the waiting anew.
+            auto kept = reserved_.find(b.id);
+            order.emplace_back(kept != reserved_.end() && kept->second.job == j->spec.id ? -1 : when, &b);
+        }
+        if (order.size() < j->spec.tasks) continue;
+        std::stable_sort(order.begin(), order.end(), [](const auto& x, const auto& y) { return x.first < y.first; });
+        for (std::size_t i = 0; i < j->spec.tasks; ++i) {
+            sched::Reservation mark{j->spec.job_class, j->spec.rank, 0, j->spec.id};
+            order[i].second->reserved = mark;
+            chosen[order[i].second->id] = mark;
+        }
+        left -= j->spec.tasks;
+    }
+}
+
 // Classes whose aim for the wait is shorter than a boot can only be met by machines that stand ready: those that run
 // them now, and as many more as arrive, by the recent rate, while another machine would boot.
 void Supply::reserve(supply::PlanInput& in) {
@@ -247,6 +318,7 @@
     std::map<MachineId, sched::Reservation> chosen;
     const Mono now = env_.now();
     std::erase_if(clearing_, [&](const auto& c) { return now - c.second > seconds(12); });
+    reserve_for_gangs(in, chosen);
     std::vector<supply::Demand> standing;
     for (auto& [name, a] : arrivals_) {
         a.forget(wall);
@@ -295,7 +367,7 @@
     reserved_ = chosen;
     wire::Reserve m;
     for (const auto& [id, r] : chosen)
-        m.machines.push_back({id, r.job_class, r.rank, static_cast<std::uint32_t>(r.save_s * 1000)});
+        m.machines.push_back({id, r.job_class, r.rank, static_cast<std::uint32_t>(r.save_s * 1000), r.job});
     for (const auto& n : settings_.all_nodes()) send_(n, m);
 }
 
--- a/src/supply/supply.h
+++ b/src/supply/supply.h
@@ -35,6 +35,7 @@
         Mono first_seen{}, last_listed{};
         double age_s = 0;  // at first_seen
         bool ever_up = false, returning = false;
+        std::string address;  // by the cloud's list
         Mono drain_asked{};
     };
     struct Known {
@@ -58,11 +59,13 @@
     void read_list(const std::string& after, std::set<MachineId> seen);
     void plan();
     void reserve(supply::PlanInput& in);
+    void reserve_for_gangs(supply::PlanInput& in, std::map<MachineId, sched::Reservation>& chosen);
     std::size_t make_room(const std::vector<std::pair<int, supply::Bin*>>& order, std::size_t n, std::size_t waiting,
                           const wire::JobSpec& spec, const sched::Reservation& r);
     void rent(const supply::Kind& k, std::uint32_t count);
     void give_back(std::vector<MachineId> machines, const char* why);
     void clean_strays();
+    void tell_sighted();
     Env& env_;
     const Settings& settings_;
     const Policy policy_;
--- a/src/wire/peer.cpp
+++ b/src/wire/peer.cpp
@@ -114,7 +114,7 @@
         a(m.id); a(m.type); a(m.zone); a(m.address); a(m.spot); a(m.usable); a(m.silent);
         a(m.session); a(m.busy_tasks); a(m.idle_ms); a(m.silent_ms);
     }
-    else if constexpr (std::is_same_v<T, Beat>) { a(m.store_ok); a(m.seen); a(m.machines); }
+    else if constexpr (std::is_same_v<T, Beat>) { a(m.store_ok); a(m.seen); a(m.write_demand); a(m.machines); }
     else if constexpr (std::is_same_v<T, Ask>) {
         a(m.round); a(m.job); a(m.gatherer); a(m.scorers); a(m.need); a(m.image); a(m.rank); a(m.tasks);
     }
@@ -126,9 +126,20 @@
     else if constexpr (std::is_same_v<T, Verdict>) { a(m.round); a(m.job); a(m.yes); }
     else if constexpr (std::is_same_v<T, Unplaced>) { a(m.round); a(m.job); a(m.tasks); }
     else if constexpr (std::is_same_v<T, Drain> || std::is_same_v<T, Drained>) { a(m.machine); }
-    else if constexpr (std::is_same_v<T, ReservedMachine>) { a(m.machine); a(m.job_class); a(m.rank); a(m.save_ms); }
+    else if constexpr (std::is_same_v<T, ReservedMachine>) {
+        a(m.machine); a(m.job_class); a(m.rank); a(m.save_ms); a(m.job);
+    }
     else if constexpr (std::is_same_v<T, Preempt>) { a(m.job); a(m.task); a(m.attempt); }
-    else if constexpr (std::is_same_v<T, Reserve>) { a(m.machines); }
+    else if constexpr (std::is_same_v<T, TaskOp>) {
+        a(m.event); a(m.task); a(m.attempt); a(m.machine); a(m.zone); a(m.term); a(m.ticket);
+    }
+    else if constexpr (std::is_same_v<T, Settle>) { a(m.job); a(m.ops); }
+    else if constexpr (std::is_same_v<T, SettledOp>) { a(m.ticket); a(m.done); }
+    else if constexpr (std::is_same_v<T, Record>) { a(m.key); a(m.value); a(m.version); }
+    else if constexpr (std::is_same_v<T, Settled>) { a(m.ops); a(m.records); }
+    else if constexpr (std::is_same_v<T, Freed>) { a(m.type); a(m.room); }
+    else if constexpr (std::is_same_v<T, SightedMachine>) { a(m.id); a(m.address); }
+    else if constexpr (std::is_same_v<T, Reserve> || std::is_same_v<T, Sighted>) { a(m.machines); }
     else { static_assert(std::is_same_v<T, Gone>); a(m.machines); }
 }
 
--- a/src/wire/peer.h
+++ b/src/wire/peer.h
@@ -10,7 +10,7 @@
 
 namespace zd::wire {
 
-constexpr std::uint8_t peer_version = 1;
+constexpr std::uint8_t peer_version = 2;
 constexpr std::size_t max_peer_frame = 256 * 1024;
 constexpr std::size_t peer_header = 4;  // length of what follows, as u32
 
@@ -37,6 +37,7 @@
 struct Beat {
     bool store_ok = false;
     std::uint64_t seen = 0;  // revision this node has read up to
+    std::uint32_t write_demand = 0;  // how much this node has to commit, against its peers
     std::vector<MachineBeat> machines;
 };
 // Relay to every scorer: a job's tasks that want machines.
@@ -99,6 +100,7 @@
     std::string job_class;
     Rank rank = Rank::standard;
     std::uint32_t save_ms = 0;
+    JobId job;  // not empty: kept for this one alone
 };
 struct Reserve {
     std::vector<ReservedMachine> machines;
@@ -109,8 +111,49 @@
     TaskIndex task = 0;
     Attempt attempt = 0;
 };
-using PeerMessage =
-    std::variant<Hello, Beat, Ask, Offers, Verdict, Unplaced, Drain, Drained, Gone, Reserve, Preempt>;
+// Supplier to all: machines that the cloud lists as running and that no controller hears. Their owners announce
+// themselves there: an earlier owner that is cut off from everything else may still hold them.
+struct SightedMachine {
+    MachineId id;
+    std::string address;
+};
+struct Sighted {
+    std::vector<SightedMachine> machines;
+};
+// Owner to the home of a job: commit these starts and ends with those of other owners.
+struct TaskOp {
+    std::uint8_t event = 0;
+    TaskIndex task = 0;
+    Attempt attempt = 0;
+    MachineId machine;
+    std::string zone;
+    std::uint64_t term = 0;    // of the owner, under which it was judged
+    std::uint64_t ticket = 0;  // the owner's name for it
+};
+struct Settle {
+    JobId job;
+    std::vector<TaskOp> ops;
+};
+// The home's answer: what came of them, and the records that the commit left.
+struct SettledOp {
+    std::uint64_t ticket = 0;
+    bool done = false;
+};
+struct Record {
+    std::string key, value;  // JSON text; empty: deleted
+    std::uint64_t version = 0;
+};
+struct Settled {
+    std::vector<SettledOp> ops;
+    std::vector<Record> records;
+};
+// Owner to all: room has come free on machines of this type, so that tasks which found none may ask again.
+struct Freed {
+    std::string type;
+    Room room;
+};
+using PeerMessage = std::variant<Hello, Beat, Ask, Offers, Verdict, Unplaced, Drain, Drained, Gone, Reserve, Preempt,
+                                 Sighted, Settle, Settled, Freed>;
 
 // The whole frame, length included.
 std::string encode(const PeerMessage& m);
--- a/tests/checker.h
+++ b/tests/checker.h
@@ -8,7 +8,8 @@
 namespace zdtest {
 
 struct JobFacts {
-    std::string team;
+    std::string team, job_class;
+    double at = 0;  // of the first attempt to submit
     int tasks = 1;
     double cpu = 0, gpu = 0;
     bool types_given = false;
@@ -37,6 +38,7 @@
     // The task has its image, or is no longer there.
     void task_on(double now, const std::string& job, int task, const std::string& machine) {
         ++starts;
+        if (jobs_[job].begun < 0) jobs_[job].begun = now;
         auto& on = on_[{job, task}];
         if (!on.empty() && !on.contains(machine)) fail("ran_twice", job, task, machine);
         Job& j = jobs_[job];
@@ -70,10 +72,20 @@
         }
     }
 
+    // A question about a job; and the moment from which on no trouble excuses silence.
+    void asked(double now, const std::string& job) {
+        Job& j = jobs_[job];
+        if (j.silent_since < 0) j.silent_since = now;
+        if (troubles_over < 0 || !j.accepted) return;
+        if (now - std::max(j.silent_since, troubles_over) > 75) fail("forgotten", job, -1, "no answer for 75 s");
+    }
+    double troubles_over = -1;
+
     // What a user was told: of a submission, a poll or a cancellation.
     void told(double now, const std::string& job, bool submission, int status, const std::string& phase) {
         auto it = jobs_.find(job);
         const bool known = it != jobs_.end() && !it->second.facts.team.empty();
+        if (status == 200 && it != jobs_.end()) it->second.silent_since = -1;
         if (status == 200 || status == 201) {
             if (!known) return fail("invented", job, -1, "");
             Job& j = it->second;
@@ -91,6 +103,28 @@
     void finish() {
         if (starts == 0) fail("nothing_ran", "", -1, "");
     }
+    // How much was served: at least half of a class, of a team and of a class's largest jobs, and the largest were begun
+    // within `begin_s`, counted from the end of all troubles if that came later.
+    void judge_service(double begin_s = 240) {
+        std::map<std::string, std::pair<int, int>> groups;  // jobs, and those done
+        std::map<std::string, int> largest;
+        for (const auto& [id, j] : jobs_) largest[j.facts.job_class] = std::max(largest[j.facts.job_class], j.facts.tasks);
+        for (const auto& [id, j] : jobs_) {
+            if (!j.accepted || j.cancel_asked) continue;
+            const bool large = j.facts.tasks * 5 >= largest[j.facts.job_class] * 4;
+            const bool done = static_cast<int>(j.done.size()) >= j.facts.tasks;
+            for (const auto& g : {"class " + j.facts.job_class, "team " + j.facts.team,
+                                  std::string(large ? "largest of " + j.facts.job_class : "")}) {
+                if (g.empty()) continue;
+                ++groups[g].first;
+                groups[g].second += done ? 1 : 0;
+            }
+            if (large && (j.begun < 0 || j.begun - std::max(j.facts.at, troubles_over) > begin_s))
+                fail("four_minutes", id, -1, "");
+        }
+        for (const auto& [name, n] : groups)
+            if (2 * n.second < n.first) fail("half_served", name, -1, "");
+    }
     bool all_done(const std::string& job) { return static_cast<int>(jobs_[job].done.size()) == jobs_[job].facts.tasks; }
     int starts = 0;
 
@@ -98,7 +132,7 @@
     struct Job {
         JobFacts facts;
         bool accepted = false, cancel_asked = false;
-        double cancelled_at = -1;
+        double cancelled_at = -1, begun = -1, silent_since = -1;
         std::string last;
         std::set<int> done;
     };
--- a/tests/checker_test.cpp
+++ b/tests/checker_test.cpp
@@ -35,6 +35,28 @@
     c.finish();
     EXPECT_TRUE(c.broken.empty());
 }
+TEST_F(Planted, ForgottenBySilence) {
+    c.troubles_over = 10;
+    c.asked(1, "job-1");
+    c.asked(80, "job-1");
+    EXPECT_TRUE(c.broken.empty());
+    c.asked(86, "job-1");
+    EXPECT_TRUE(found("forgotten"));
+}
+TEST_F(Planted, HalfServed) {
+    c.task_on(1, "job-1", 0, "m1");
+    c.judge_service();
+    EXPECT_FALSE(c.broken.empty());
+    for (const auto& b : c.broken) EXPECT_EQ(b.rfind("half_served:", 0), 0U) << b;
+}
+TEST_F(Planted, FourMinutes) {
+    for (int t = 0; t < 2; ++t) {
+        c.task_on(250, "job-1", t, "m1");
+        c.task_done("job-1", t);
+    }
+    c.judge_service();
+    EXPECT_TRUE(found("four_minutes"));
+}
 TEST_F(Planted, RanTwice) {
     c.task_on(1, "job-1", 0, "m1");
     c.task_on(2, "job-1", 0, "m2");
--- a/tests/stories_test.cpp
+++ b/tests/stories_test.cpp
@@ -1,6 +1,8 @@
 // Short stories of whole deployments: something goes wrong, no rule breaks, and the work gets done.
 #include <gtest/gtest.h>
 
+#include <cmath>
+
 #include "world.h"
 
 namespace zdtest {
@@ -423,6 +425,239 @@
     expect_rules(w);
 }
 
+// Reports arrive and nothing goes back: what was written into answers did not reach the machine. It gets no more tasks,
+// those it had are found gone with its lease though it is heard all along, and in the end it is returned.
+TEST(Story, MachineThatHearsNothing) {
+    World w;
+    w.run(3);
+    w.submit(w.job(id_of(1), 6, 1, 60));
+    ASSERT_TRUE(w.run_until([&] { return w.on_machines(id_of(1)) == 6; }, 60));
+    std::string machine;
+    for (auto& [id, m] : w.workers())
+        if (w.placed_on(id) > 0) machine = id;
+    w.deaf.insert(machine);
+    w.run(26);
+    EXPECT_EQ(w.placed_on(machine), 0);
+    // Work for every machine there is: this one must be left out as long as it does not answer.
+    auto ids = submit_some(w, 10, 6, 8, 8);
+    for (int i = 0; i < 40; ++i) {
+        w.run(0.5);
+        EXPECT_EQ(w.placed_on(machine), 0);
+    }
+    EXPECT_TRUE(w.run_until([&] { return !w.workers().contains(machine); }, 40));
+    ids.push_back(id_of(1));
+    EXPECT_TRUE(told_all(w, ids, 150));
+    expect_rules(w);
+}
+
+// Deaf from its first report on: it is told to run a task at most twice before the task goes elsewhere.
+TEST(Story, MachineDeafFromItsBoot) {
+    World w;
+    w.run(3);
+    const std::string machine = w.add_machine("small", "a", false, 0.1).id;
+    w.deaf.insert(machine);
+    w.run(2);
+    auto ids = submit_some(w, 1, 2, 4, 6);
+    for (int i = 0; i < 60; ++i) {
+        w.run(0.5);
+        EXPECT_EQ(w.placed_on(machine), 0);
+    }
+    EXPECT_TRUE(told_all(w, ids, 30));
+    expect_rules(w);
+}
+
+// A report held on its way arrives after the lease that it belongs to lapsed: nothing is placed on its dead machine.
+TEST(Story, HeldReportRevivesNoMachine) {
+    for (int owner = 0; owner < 3; ++owner) {
+        World w;
+        w.run(3);
+        w.submit(w.job(id_of(1), 12, 1, 200));
+        ASSERT_TRUE(w.run_until([&] { return w.on_machines(id_of(1)) == 12; }, 60));
+        std::vector<std::string> dead;
+        for (auto& [id, m] : w.workers()) {
+            w.link(id, w.name(owner), Link::hold);
+            dead.push_back(id);
+        }
+        w.run(3);
+        for (const auto& id : dead)
+            if (w.workers().at(id).node == static_cast<std::size_t>(owner)) w.kill_machine(id);
+        w.run(14);
+        std::set<std::string> gone;
+        for (const auto& id : dead)
+            if (w.workers().contains(id) && !w.workers().at(id).alive) gone.insert(id);
+        for (const auto& id : dead) w.link(id, w.name(owner), Link::up);
+        for (int i = 0; i < 30; ++i) {
+            w.run(0.5);
+            for (const auto& id : gone) EXPECT_EQ(w.placed_on(id), 0) << id;
+        }
+        w.cancel(id_of(1));
+        EXPECT_TRUE(told_all(w, {id_of(1)}, 30));
+        expect_rules(w);
+    }
+}
+
+// Copies of reports come after the return of their machine: it is not revived by them.
+TEST(Story, CopiesAfterTheReturn) {
+    World w;
+    w.run(3);
+    auto ids = submit_some(w, 1, 2, 8, 5);
+    EXPECT_TRUE(told_all(w, ids, 60));
+    std::vector<std::string> machines;
+    for (auto& [id, m] : w.workers()) {
+        machines.push_back(id);
+        for (int n = 0; n < 3; ++n)
+            for (double d : {50.0, 52.0, 54.0}) w.copy_of_report(id, n, d);
+    }
+    ASSERT_TRUE(w.run_until([&] { return w.workers().empty(); }, 49));
+    w.run(51 - std::fmod(w.now(), 1.0));
+    ids = submit_some(w, 10, 2, 8, 5);
+    for (int i = 0; i < 20; ++i) {
+        w.run(0.5);
+        for (const auto& id : machines) EXPECT_EQ(w.placed_on(id), 0) << id;
+    }
+    EXPECT_TRUE(told_all(w, ids, 60));
+    expect_rules(w);
+}
+
+// Copies of old reports to controllers that took over, restarted or saw the lease lapse: none of them proves anything,
+// so that nothing is started twice and nothing that runs is given up.
+TEST(Story, CopiesProveNothing) {
+    World w;
+    w.run(3);
+    w.submit(w.job(id_of(1), 8, 1, 45));
+    // Reports of before the tasks were there, as copies for after the takeover and for after the restart.
+    ASSERT_TRUE(w.run_until([&] { return w.accepted(id_of(1)) && !w.workers().empty(); }, 20));
+    ASSERT_TRUE(w.run_until([&] { return w.on_machines(id_of(1)) > 0; }, 60));
+    for (auto& [id, m] : w.workers())
+        for (int n = 0; n < 3; ++n)
+            for (double d : {6.0, 9.0, 14.0, 21.0, 30.0}) w.copy_of_report(id, n, d);
+    ASSERT_TRUE(w.run_until([&] { return w.on_machines(id_of(1)) == 8; }, 60));
+    w.crash(0);
+    w.run(8);
+    w.start_node(0);
+    w.crash(1);
+    w.run(0.3);
+    w.start_node(1);
+    EXPECT_TRUE(told_all(w, {id_of(1)}, 150));
+    EXPECT_EQ(w.checker.starts, 8);
+    expect_rules(w);
+}
+
+// A controller is left with its workers alone, and nobody else knows their addresses any more: they learn the new term
+// by the cloud's list, or they would run a cancelled job for as long as the cut lasts.
+TEST(Story, ControllerLeftWithItsWorkersAlone) {
+    for (int alone = 0; alone < 3; ++alone) {
+        World w;
+        w.run(3);
+        w.submit(w.job(id_of(1), 16, 1, 500));
+        ASSERT_TRUE(w.run_until([&] { return w.on_machines(id_of(1)) == 16; }, 60));
+        w.store.refused.insert(w.name(alone));
+        for (int n = 0; n < 3; ++n)
+            if (n != alone) {
+                w.link(w.name(alone), w.name(n), Link::drop);
+                w.crash(n);
+            }
+        w.run(0.5);
+        for (int n = 0; n < 3; ++n)
+            if (n != alone) w.start_node(n);
+        w.run(8);
+        EXPECT_EQ(w.on_machines(id_of(1)), 16);  // kept alive meanwhile
+        w.cancel(id_of(1), (alone + 1) % 3);
+        ASSERT_TRUE(w.run_until([&] { return w.told(id_of(1)) == "withdrawn"; }, 15));
+        EXPECT_TRUE(w.run_until([&] { return w.on_machines(id_of(1)) == 0; }, 30));
+        w.store.refused.clear();
+        for (int n = 0; n < 3; ++n)
+            if (n != alone) w.link(w.name(alone), w.name(n), Link::up);
+        w.run(10);
+        auto ids = submit_some(w, 10, 3, 4);
+        EXPECT_TRUE(told_all(w, ids, 60));
+        expect_rules(w);
+    }
+}
+
+// Back within its session's length, a controller still looks alive: whatever it held, a part of a controller that is
+// away included, it must take up again itself.
+TEST(Story, BackInAFractionOfASecond) {
+    for (int away = 0; away < 5; ++away)
+        for (int second = 0; second < 5; ++second) {
+            if (second == away) continue;
+            World::Options o;
+            o.nodes = 5;
+            World w(o);
+            w.run(3);
+            // Two go; one comes back, so that the hash now names another controller for the part of the first.
+            w.crash(away);
+            w.crash(second);
+            w.run(7);
+            w.start_node(second);
+            w.run(3);
+            for (int n = 0; n < 5; ++n)
+                if (n != away) w.crash(n);
+            w.run(0.2);
+            for (int n = 0; n < 5; ++n)
+                if (n != away) w.start_node(n);
+            w.run(4);
+            for (std::uint32_t part = 0; part < 5; ++part) {
+                int owners = 0;
+                for (int n = 0; n < 5; ++n) owners += n != away && w.node(n).cluster().term(part) ? 1 : 0;
+                EXPECT_EQ(owners, 1) << "part " << part << " away " << away << " second " << second;
+            }
+        }
+}
+
+// What a controller sent before its end arrives after its return: its record must not go with the grant of before.
+TEST(Story, HeldMessagesOfTheLifeBefore) {
+    for (int moment = 0; moment < 8; ++moment) {
+        World w;
+        w.link("n0", "state", Link::hold);
+        w.run(0.05 + 0.1 * moment);
+        w.crash(0);
+        w.run(0.1);
+        w.start_node(0);
+        w.run(0.3);
+        w.link("n0", "state", Link::up);
+        w.run(12);
+        EXPECT_TRUE(w.store.data.contains("z/n/n0"));
+        EXPECT_TRUE(w.node(0).cluster().term(0));
+        auto ids = submit_some(w, 1, 2, 4);
+        EXPECT_TRUE(told_all(w, ids, 60));
+        expect_rules(w);
+    }
+}
+
+// Small work that never ends to come: a large array and a gang of four begin all the same, and are done.
+TEST(Story, NobodyStarvesUnderALastingBurst) {
+    World::Options o;
+    o.capacity = 8;
+    World w(o);
+    w.run(3);
+    std::vector<std::string> ids;
+    int next = 100;
+    for (int step = 0; step < 150; ++step) {
+        if (step == 10) {
+            Json large = w.job(id_of(1), 60, 1, 10);
+            large["ilk"] = "large";
+            w.submit(large);
+            Json gang = w.job(id_of(2), 4, 4, 20);
+            gang["shape"] = "group";
+            gang["ilk"] = "gang";
+            w.submit(gang);
+            ids = {id_of(1), id_of(2)};
+        }
+        // More than the machines can do, as long as it lasts.
+        ids.push_back(id_of(next));
+        w.submit(w.job(id_of(next++), 10, 1, 6.5));
+        if (step % 2 == 0)
+            for (const auto& id : ids)
+                if (w.accepted(id)) w.poll(id);
+        w.run(2);
+    }
+    w.run(100);
+    for (const auto& id : {id_of(1), id_of(2)}) EXPECT_TRUE(w.checker.all_done(id)) << id;
+    w.checker.judge_service();
+    expect_rules(w);
+}
+
 // Anything may happen at any time, several things at once: the rules hold, and once it is over all work gets done.
 class RandomFaults : public testing::TestWithParam<std::uint64_t> {};
 TEST_P(RandomFaults, RulesHold) {
@@ -455,7 +690,7 @@
         for (auto& [id, m] : w.workers())
             if (m.alive) machines.push_back(id);
         const std::string machine = machines.empty() ? "" : machines[w.rng() % machines.size()];
-        switch (pick(10)) {
+        switch (pick(13)) {
             case 0:
                 w.crash(n);
                 w.at(0.1 + 6 * w.chance(), [&w, n] { w.start_node(n); });
@@ -494,6 +729,24 @@
                 w.loss = 0.05;
                 w.at(3, [&w] { w.loss = 0; });
                 break;
+            case 9:
+                if (!machine.empty()) {
+                    w.deaf.insert(machine);
+                    w.at(2 + 25 * w.chance(), [&w, machine] { w.deaf.erase(machine); });
+                }
+                break;
+            case 10:
+                w.copies = 0.3;
+                w.at(5, [&w] { w.copies = 0; });
+                break;
+            case 11:
+                // Left with its workers alone.
+                for (const char* o2 : {"state", "n0", "n1", "n2"})
+                    if (name != o2) {
+                        w.link(name, o2, cut);
+                        w.at(15, [&w, name, o2] { w.link(name, o2, Link::up); });
+                    }
+                break;
             default:
                 if (!machine.empty()) w.notice(machine, 6);
         }
@@ -502,7 +755,9 @@
         w.run(1.9 + 0.2 * w.chance());
     }
     w.run(25);
+    w.checker.troubles_over = w.now();
     EXPECT_TRUE(told_all(w, ids, 400));
+    w.checker.judge_service();
     expect_rules(w);
 }
 // ZINCDYKE_SEEDS asks for a longer hunt by hand; the usual run has a fixed dozen.
--- a/tests/units_test.cpp
+++ b/tests/units_test.cpp
@@ -97,7 +97,7 @@
 // Truncated, changed and random bytes are refused or decode to something: never more than that.
 TEST(PeerMessages, SurviveMutation) {
     std::mt19937_64 rng(5);
-    wire::Beat beat{true, 9, {{MachineId("host-1"), "t", "z", "1.2.3.4:5", true, true, false, 3, 1, 2, 3}}};
+    wire::Beat beat{true, 9, 3, {{MachineId("host-1"), "t", "z", "1.2.3.4:5", true, true, false, 3, 1, 2, 3}}};
     wire::Offers offers{{NodeName("n"), 1}, JobId("job-2"), NodeName("m"), 3, true, {0, 1}, {{MachineId("host-2"), "z", -5}}};
     int refused = 0;
     for (const wire::PeerMessage& m : {wire::PeerMessage(beat), wire::PeerMessage(offers)}) {
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -275,6 +275,7 @@
 }
 
 void World::send(const std::string& a, const std::string& b, std::function<void()> fn) {
+    if (deaf.contains(b)) return;
     switch (link_of(a, b)) {
         case Link::drop:
             return;
@@ -480,6 +481,11 @@
         at(0.01, [settle, target] { settle(1, target + 1); });
         return;
     }
+    if (copies > 0 && chance() < copies) {
+        at(copy_s * chance(), [this, target, body] {
+            if (up(static_cast<int>(target))) hosts_[target].node->on_request({"POST", "/checkin", body}, [](const HttpResponse&) {});
+        });
+    }
     send(id, node_name, [this, id, node_name, target, body, settle, sent, session] {
         if (!up(static_cast<int>(target))) return;
         hosts_[target].node->on_request({"POST", "/checkin", body}, [this, id, node_name, target, settle, sent, session](HttpResponse r) {
@@ -685,6 +691,22 @@
     });
 }
 
+void World::copy_of_report(const std::string& machine, int to, double delay) {
+    at(delay, [this, to, body = report_body(workers_.at(machine))] {
+        if (up(to))
+            hosts_[static_cast<std::size_t>(to)].node->on_request({"POST", "/checkin", body}, [](const HttpResponse&) {});
+    });
+}
+
+int World::placed_on(const std::string& machine) const {
+    int n = 0;
+    for (const auto& [key, v] : store.data)
+        if (key.rfind("z/t/", 0) == 0)
+            for (const auto& e : v.first.value("p", Json::array()))
+                if (e.at(2) == machine) ++n;
+    return n;
+}
+
 int World::on_machines(const std::string& job) const {
     int n = 0;
     for (const auto& [id, w] : workers_)
@@ -744,6 +766,8 @@
     JobFacts f;
     f.team = body["crew"].get<std::string>();
     f.tasks = body["shards"].get<int>();
+    f.job_class = body.value("ilk", "");
+    f.at = now_;
     f.cpu = body["vcpus"].get<double>();
     f.gpu = body["gpus"].get<double>();
     f.one_zone = body["one_zone"].get<bool>();
@@ -759,6 +783,7 @@
 }
 
 void World::poll(const std::string& id, int via) {
+    checker.asked(now_, id);
     // A user has one request under way at a time: answers of two could arrive in either order.
     if (!cancelling_.contains(id)) user_request(id, "GET", "/api/jobs/" + id, "", via, false, 1);
 }
--- a/tests/world.h
+++ b/tests/world.h
@@ -127,6 +127,11 @@
     Link link_of(const std::string& a, const std::string& b) const;
     void send(const std::string& a, const std::string& b, std::function<void()> fn);
     double loss = 0;  // share of messages lost on any link
+    std::set<std::string> deaf;  // machines that send, and that nothing reaches
+    // Late copies: a report arrives once more at the same controller, so much later; its answer goes nowhere.
+    double copies = 0;  // share of reports
+    double copy_s = 40;  // up to
+    void copy_of_report(const std::string& machine, int to, double delay);
 
     Json job(const std::string& id, int tasks, double cpu = 1, double run_s = 5, const std::string& team = "red");
     void submit(const Json& body, int via = -1);  // retried as users do until answered for good
@@ -144,6 +149,8 @@
     void notice(const std::string& id, double in_s);
     std::map<std::string, Worker>& workers() { return workers_; }
     int on_machines(const std::string& job) const;
+    // Tasks that the state service holds as placed on a machine.
+    int placed_on(const std::string& machine) const;
 
     Checker checker;
     FakeStore store{*this};
