A machine that fetches an image counts as its holder

Cause: the tasks of one ask were spread by free room, one to a machine, so that each image was fetched twice as often as needed and often beside another.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -230,6 +230,17 @@
     return orders;
 }
 
+// Holds the image, or fetches it for another task by now: fetches at the same time share the machine's rate, so that a
+// second image beside the first delays both.
+bool Fleet::has_image(const MachineId& id, const Machine& m, const std::string& image) const {
+    if (std::find(m.images.begin(), m.images.end(), image) != m.images.end()) return true;
+    const auto& placed = model_.on_machine(id);
+    return std::any_of(placed.begin(), placed.end(), [&](const auto& ref) {
+        const Job* j = model_.job(ref.job);
+        return j != nullptr && j->spec.image == image;
+    });
+}
+
 void Fleet::note_image(Machine& m, const std::string& image) {
     auto it = std::find(m.images.begin(), m.images.end(), image);
     if (it != m.images.end()) m.images.erase(it);
@@ -334,7 +345,7 @@
                 if (m.kept_since == Mono{}) m.kept_since = now;
                 if (now - m.kept_since < kept_for) continue;
             }
-            c.has_image = std::find(m.images.begin(), m.images.end(), ask.image) != m.images.end();
+            c.has_image = has_image(id, m, ask.image);
             auto failed = job_errors_.find(ask.job);
             if (failed != job_errors_.end() && failed->second.contains(id)) c.penalty += 2;
             candidates.push_back(std::move(c));
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -108,6 +108,7 @@
     void tell_freed(const MachineId& id, const Machine& m);
     bool usable(const MachineId& id, const Machine& m) const;
     void note_error(const MachineId& id, Machine& m, const JobId& job);
+    bool has_image(const MachineId& id, const Machine& m, const std::string& image) const;
     void note_image(Machine& m, const std::string& image);
     void announce(const MachineId& id);
     void announce_due();
--- a/src/sched/logic.cpp
+++ b/src/sched/logic.cpp
@@ -66,6 +66,8 @@
         }
         if (best == nullptr) break;
         best->free -= need;
+        // A machine fetches an image once for all its tasks: the next of this job finds it there.
+        best->has_image = true;
         offers.push_back({best->id, best->zone, top});
     }
     return offers;
