No supplier acts on a stale view; only owners' words of machines count; ready machines by tasks

Two stories; both fail without the fixes. Ruled out: leases (the owner heard the machines all along) and state writes.

--- a/src/cluster/cluster.cpp
+++ b/src/cluster/cluster.cpp
@@ -19,6 +19,20 @@
     acquire_session();
     load("", {});
     review();
+    watch_presence();
+}
+
+void Cluster::watch_presence() {
+    env_.after(millis(50), [this] { watch_presence(); });
+    if (!synced_ || loading_) return;
+    if (!store_.reachable()) {
+        stale_ = true;
+        watch_now_ = false;
+    } else if (stale_ && !std::exchange(watch_now_, true)) {
+        // The watch under way may hang in a cut that is over: a new one is answered at once.
+        ++watch_run_;
+        watch();
+    }
 }
 
 NodeName Cluster::pick(const std::string& key, const std::vector<NodeName>& among) {
@@ -57,7 +71,7 @@
     return p.owner;
 }
 
-bool Cluster::is_supplier() const { return synced_ && registered_ && model_.supplier() == settings_.node; }
+bool Cluster::is_supplier() const { return in_touch() && registered_ && model_.supplier() == settings_.node; }
 
 NodeName Cluster::relay_of(const Job& j) const {
     if (is_live(j.relay)) return j.relay;
@@ -133,6 +147,8 @@
     store_.touch(grant, [this, grant](Outcome o) {
         if ((o == Outcome::not_found || o == Outcome::invalid) && grant == grant_ && !acquiring_) {
             log::warn("event=session_lost grant={}", grant_);
+            stale_ = true;
+            watch_now_ = false;
             acquire_session();
         }
         env_.after(o == Outcome::ok ? life_ / 4 : millis(250), [this] { renew(); });
@@ -162,6 +178,7 @@
         synced_ = true;
         log::info("event=state_read revision={} jobs={}", start.v, model_.jobs().size());
         ++watch_run_;
+        stale_ = watch_now_ = false;
         watch();
         changed();
         if (first && on_synced) on_synced();
@@ -169,8 +186,9 @@
 }
 
 void Cluster::watch() {
-    store_.watch("z/", model_.seen, [this, run = watch_run_](ListResult r) {
+    store_.watch("z/", model_.seen, stale_, [this, run = watch_run_](ListResult r) {
         if (run != watch_run_) return;
+        const bool asked_anew = std::exchange(watch_now_, false) && stale_;
         if (r.too_old) {
             log::warn("event=watch_too_old revision={}", model_.seen.v);
             return load("", {});
@@ -183,6 +201,7 @@
         }
         for (const auto& i : r.items) model_.apply(i);
         model_.seen = std::max(model_.seen, r.revision);
+        if (asked_anew) stale_ = false;
         // A pause gathers changes into one answer. It keeps the watches of all nodes together to a quarter of the request
         // budget: at a fixed 30 ms those of seven nodes took most of it.
         const double pause = static_cast<double>(std::max<std::size_t>(1, model_.nodes().size())) /
@@ -209,7 +228,7 @@
 
 void Cluster::review() {
     env_.after(millis(100), [this] { review(); });
-    if (!synced_ || loading_ || !registered_ || !store_.reachable()) return;
+    if (!in_touch() || loading_ || !registered_) return;
     // A commit of our life before, held and carried out late, may have tied our record to a grant that then ended.
     if (!is_live(settings_.node)) {
         registered_ = false;
@@ -251,7 +270,8 @@
             claims_[part] = r.revision;
             log::info("event=part_claimed part={} term={} from={}", part, r.revision.v,
                       model_.parts()[part].owner.v);
-            // Not applied to the model here: the watch brings it after all that came before it.
+            // Not applied to the model here: the watch brings it after all that came before it. Perhaps it has by now.
+            changed();
         }
         // A claim without an answer that went through is seen as a record of ours without a claim, and is
         // claimed again under a term of its own.
--- a/src/cluster/cluster.h
+++ b/src/cluster/cluster.h
@@ -19,14 +19,15 @@
 
     // The model has been read in full and the watch goes on from there.
     bool synced() const { return synced_; }
-    // Synced, and the state service answers.
-    bool in_touch() const { return synced_ && store_.reachable(); }
+    // The state service answers, and what it holds was read since it last went away: nothing is decided on the view
+    // from before a cut. Back from one, a supplier took the machines that others had long taken over for silent ones.
+    bool in_touch() const { return synced_ && !stale_ && store_.reachable(); }
     // Term of a part that this process owns, as far as it knows.
     std::optional<Term> term(std::uint32_t part) const;
     std::optional<Term> term_of(const MachineId& m) const { return term(model_.part_of(m)); }
     // The node that a worker should report to.
     std::optional<NodeName> owner_of(const MachineId& m) const;
-    bool is_supplier() const;
+    bool is_supplier() const;  // and in touch
     std::vector<NodeName> live() const;
     bool is_live(const NodeName& n) const { return model_.nodes().contains(n); }
     // The controller that relays the job: the one that accepted it, or while that is away one picked by hash.
@@ -51,6 +52,7 @@
     void renew();
     void load(const std::string& after, Revision from);
     void watch();
+    void watch_presence();
     void changed();
     void review();
     void claim(std::uint32_t part);
@@ -64,6 +66,7 @@
     bool registered_ = false, registering_ = false, acquiring_ = false, renewing_ = false, loading_ = false, synced_ = false, standing_ = false;
     Revision incarnation_;
     std::uint64_t watch_run_ = 0;
+    bool stale_ = false, watch_now_ = false;
     double write_share_ = 0;  // 0: one by the number of nodes
     std::map<std::uint32_t, Term> claims_;  // won by this process
     std::set<std::uint32_t> claiming_;
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -43,8 +43,8 @@
     Machine& m = machines_[r.machine];
     if (m.first_known == Mono{}) m.first_known = env_.now();
     m.last_heard = env_.now();
-    log::debug("event=check_in machine={} session={} seq={} shown={} term={} at={:.3f}", r.machine.v, r.age.session,
-               r.age.seq, r.term.v, mine->v, to_s(env_.now().time_since_epoch()));
+    log::debug("event=check_in machine={} session={} seq={} shown={} term={} hears={} answered={} at={:.3f}", r.machine.v, r.age.session,
+               r.age.seq, r.term.v, mine->v, m.hears, m.answered_seq, to_s(env_.now().time_since_epoch()));
     // An older check-in still held: its worker has moved on, and no order in its answer would be executed.
     if (auto old = held_.find(r.machine); old != held_.end()) {
         env_.cancel(old->second.timer);
@@ -445,11 +445,12 @@
 
 void Fleet::on_part_gained(std::uint32_t part) {
     log::info("event=part_gained part={} term={}", part, cluster_.term(part)->v);
+    // For how long machines were silent is counted from now: what was heard in an earlier term says nothing of the time
+    // since, when others heard them.
     for (const auto& [id, placed] : model_.machines())
-        if (model_.part_of(id) == part) {
-            Machine& m = machines_[id];
-            m.first_known = env_.now();
-        }
+        if (model_.part_of(id) == part) machines_[id];
+    for (auto& [id, m] : machines_)
+        if (model_.part_of(id) == part) m.first_known = env_.now();
     for (auto& [id, a] : addresses_)
         if (model_.part_of(id) == part) {
             a.next_try = {};
@@ -517,6 +518,7 @@
 
 std::vector<wire::MachineBeat> Fleet::beats() {
     std::vector<wire::MachineBeat> out;
+    if (!cluster_.in_touch()) return out;  // what is thought to be ours may be another's by now
     Mono now = env_.now();
     for (auto& [id, m] : machines_) {
         if (!cluster_.term_of(id)) continue;
--- a/src/jobs/relay.cpp
+++ b/src/jobs/relay.cpp
@@ -101,7 +101,7 @@
 
 void Relay::plan() {
     // A node without the state service starts nothing.
-    if (!cluster_.synced() || !store_.reachable()) return;
+    if (!cluster_.in_touch()) return;
     Mono now = env_.now();
     std::vector<const Job*> mine;
     for (const auto& [id, j] : model_.jobs()) {
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -210,13 +210,15 @@
                }});
 }
 
-void StoreClient::watch(const std::string& prefix, Revision after, std::function<void(ListResult)> done) {
+void StoreClient::watch(const std::string& prefix, Revision after, bool at_once,
+                        std::function<void(ListResult)> done) {
+    const Duration hold = at_once ? Duration(0) : watch_hold;
     std::string path = "/watch?prefix=" + prefix + "&after=" + std::to_string(after.v) +
-                       "&hold_ms=" + std::to_string(watch_hold.count() / 1000);
+                       "&hold_ms=" + std::to_string(hold.count() / 1000);
     // Sent past the queue: a watch waits on purpose, and its silence says nothing about the service.
     requests_.has(env_.now(), 1);
     requests_.take(1);
-    env_.http(settings_.state, {"GET", path, ""}, watch_hold + seconds(5), [done = std::move(done)](HttpResponse h) {
+    env_.http(settings_.state, {"GET", path, ""}, hold + (at_once ? normal_timeout : seconds(5)), [done = std::move(done)](HttpResponse h) {
         ListResult r;
         r.outcome = outcome_of(h.status);
         r.too_old = h.status == 410;
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -85,7 +85,8 @@
     void get(const std::string& key, Urgency u, std::function<void(GetResult)> done);
     void list(const std::string& prefix, const std::string& after, std::function<void(ListResult)> done);
     void commit(const Txn& txn, Urgency u, std::function<void(CommitResult)> done);
-    void watch(const std::string& prefix, Revision after, std::function<void(ListResult)> done);
+    // `at_once`: answers with what there is rather than wait for a change.
+    void watch(const std::string& prefix, Revision after, bool at_once, std::function<void(ListResult)> done);
     void grant(Duration life, std::function<void(Outcome, std::uint64_t)> done);
     void touch(std::uint64_t grant, std::function<void(Outcome)> done);
 
--- a/src/supply/supply.cpp
+++ b/src/supply/supply.cpp
@@ -23,6 +23,8 @@
 void Supply::on_beat(const NodeName& from, const wire::Beat& b) {
     Mono now = env_.now();
     for (const auto& m : b.machines) {
+        // Only the owner's word counts: one back from a cut still told of machines it had lost, as silent.
+        if (model_.parts()[model_.part_of(m.id)].owner != from) continue;
         if (gone_.contains(m.id)) {
             // Its owner missed the word of the return, and still counts tasks on it.
             if (m.busy_tasks > 0 && cluster_.is_supplier()) send_(from, wire::Gone{{m.id}});
@@ -171,6 +173,7 @@
         const bool heard = fresh && !k->second.beat.address.empty();
         supply::Bin bin{id, r.type, r.zone, r.spot, {}, false, {}};
         if (heard) {
+            r.unheard_since = {};
             const auto& b = k->second.beat;
             if (!b.usable) continue;
             Room free = type->room;
@@ -181,6 +184,14 @@
                 bin.slots.push_back({std::max(3.0, j->spec.estimate_s * 0.7), j->spec.need});
             }
             bin.slots.push_back({0, free});
+        } else if (r.phase == wire::MachinePhase::running) {
+            // Up by the cloud's word: not slow to boot, whatever its age. After an election or a restart its owner may
+            // not have heard it yet; one that nobody hears for long can't be used and is returned.
+            if (r.unheard_since == Mono{}) r.unheard_since = now;
+            if (!r.ever_up && now - r.unheard_since > seconds(settings_.lease_s + policy_.silent_keep_s + 10))
+                silent.push_back(id);
+            if (now - r.unheard_since > seconds(5)) continue;
+            bin.slots.push_back({1.0, type->room});
         } else if (!r.ever_up) {
             double age = r.age_s + to_s(now - r.first_seen);
             if (age > type->boot_s * policy_.boot_limit + 5) {
@@ -330,8 +341,8 @@
             if (o.kind == "wait" && o.job_class == name) within = std::min(within, o.within_s);
         if (type == nullptr || within > type->boot_s * 1.5 || a.times.empty()) continue;
         const double boot = type->boot_s + a.spec.image_gb / type->fetch_gb_per_s;
-        const double rate = static_cast<double>(a.times.size()) / a.window_s(wall);
-        const auto ready = static_cast<std::size_t>(std::clamp(std::ceil(rate * boot * policy_.reserve), policy_.reserve > 0 ? 1.0 : 0.0, 10.0));
+        const double expected = std::ceil(a.machines_per_s(wall) * boot * policy_.reserve);
+        const auto ready = static_cast<std::size_t>(std::clamp(expected, policy_.reserve > 0 ? 1.0 : 0.0, 50.0));
         std::size_t waiting = 0;
         for (const auto& d : in.demands)
             if (d.spec->job_class == name) waiting += d.tasks;
@@ -411,17 +422,23 @@
 
 void Supply::Arrivals::note(const wire::JobSpec& s, WallMs at, const std::optional<std::string>& zone) {
     if (times.contains({at, s.id})) return;
-    if (times.empty() || at > times.rbegin()->first) {
+    if (times.empty() || at > times.rbegin()->first.first) {
         spec = s;
         pin = zone;
     }
     if (first == WallMs{}) first = at;
-    times.insert({at, s.id});
+    times.emplace(std::make_pair(at, s.id), s.shape == wire::Shape::gang ? s.tasks : 1);
     if (times.size() > 500) times.erase(times.begin());
 }
 
 void Supply::Arrivals::forget(WallMs now) {
-    while (!times.empty() && times.begin()->first.v + window_ms < now.v) times.erase(times.begin());
+    while (!times.empty() && times.begin()->first.first.v + window_ms < now.v) times.erase(times.begin());
+}
+
+double Supply::Arrivals::machines_per_s(WallMs now) const {
+    double tasks = 0;
+    for (const auto& [when, n] : times) tasks += n;
+    return tasks / window_s(now);
 }
 
 double Supply::Arrivals::window_s(WallMs now) const {
--- a/src/supply/supply.h
+++ b/src/supply/supply.h
@@ -36,6 +36,7 @@
         double age_s = 0;  // at first_seen
         bool ever_up = false, returning = false;
         std::string address;  // by the cloud's list
+        Mono unheard_since{};  // listed as running, and no controller hears it
         Mono drain_asked{};
     };
     struct Known {
@@ -48,11 +49,12 @@
         static constexpr std::int64_t window_ms = 240'000;
         wire::JobSpec spec;  // of the latest
         std::optional<std::string> pin;
-        std::set<std::pair<WallMs, JobId>> times;
+        std::map<std::pair<WallMs, JobId>, TaskIndex> times;  // and how many tasks each has
         WallMs first;
         void note(const wire::JobSpec& s, WallMs at, const std::optional<std::string>& zone);
         void forget(WallMs now);
         double window_s(WallMs now) const;
+        double machines_per_s(WallMs now) const;  // tasks a second, a gang's counted one by one
     };
     void tick();
     void read_types();
--- a/tests/stories_test.cpp
+++ b/tests/stories_test.cpp
@@ -625,6 +625,51 @@
     }
 }
 
+// A supplier back from a cut must not act on what it knew before: it took the machines that it had not heard for so
+// long, and that others had taken over, for silent ones and returned them with all that ran there.
+TEST(Story, SupplierBackFromACutReturnsNothingInUse) {
+    for (const Link cut : {Link::drop, Link::hold}) {
+        World w;
+        w.run(3);
+        w.submit(w.job(id_of(1), 16, 1, 120));
+        ASSERT_TRUE(w.run_until([&] { return w.on_machines(id_of(1)) == 16; }, 60));
+        const std::string supplier = w.node(0).model().supplier().v;
+        ASSERT_FALSE(supplier.empty());
+        std::vector<std::string> others{"state"};
+        for (int n = 0; n < 3; ++n)
+            if (w.name(n) != supplier) others.push_back(w.name(n));
+        for (auto& [id, m] : w.workers()) others.push_back(id);
+        for (const auto& o : others) w.link(supplier, o, cut);
+        w.run(40);
+        for (const auto& o : others) w.link(supplier, o, Link::up);
+        w.run(12);
+        EXPECT_TRUE(told_all(w, {id_of(1)}, 150));
+        EXPECT_EQ(w.checker.starts, 16);
+        expect_rules(w);
+    }
+}
+
+// A supplier that has just started hears of machines by the cloud's list first: those that run are not slow to boot,
+// however old they are.
+TEST(Story, SupplierThatRestartsReturnsNothingInUse) {
+    World w;
+    w.run(3);
+    w.submit(w.job(id_of(1), 16, 1, 120));
+    ASSERT_TRUE(w.run_until([&] { return w.on_machines(id_of(1)) == 16; }, 60));
+    w.run(25);
+    for (int n = 0; n < 3; ++n) w.crash(n);
+    w.run(5);
+    // The owners come a little later than the supplier.
+    w.start_node(1);
+    w.run(1.5);
+    w.start_node(0);
+    w.start_node(2);
+    w.run(20);
+    EXPECT_TRUE(told_all(w, {id_of(1)}, 150));
+    EXPECT_EQ(w.checker.starts, 16);
+    expect_rules(w);
+}
+
 // Small work that never ends to come: a large array and a gang of four begin all the same, and are done.
 TEST(Story, NobodyStarvesUnderALastingBurst) {
     World::Options o;
