Stop young tasks of lower rank for gangs that wait; late gangs of one get a machine too

Now tasks that can't save and have run at most 30 s (policy preempt_loss_s) are stopped, least loss first, for classes that can't wait and for gangs that waited 15 s. Ruled out: placement rounds (a gang with room starts within 0.1 s) and state writes.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -41,7 +41,7 @@
     {"idle_keep_s", &Policy::idle_keep_s, 0, 86400},      {"idle_keep_boots", &Policy::idle_keep_boots, 0, 100},
     {"silent_keep_s", &Policy::silent_keep_s, 0, 86400},  {"boot_limit", &Policy::boot_limit, 1, 100},
     {"refused_pause_s", &Policy::refused_pause_s, 1, 3600}, {"patience", &Policy::patience, 0, 100},
-    {"reserve", &Policy::reserve, 0, 100},
+    {"reserve", &Policy::reserve, 0, 100},                {"preempt_loss_s", &Policy::preempt_loss_s, 0, 86400},
 };
 
 }  // namespace
--- a/src/supply/supply.cpp
+++ b/src/supply/supply.cpp
@@ -52,7 +52,8 @@
     env_.after(tick_every, [this] { tick(); });
     Mono now = env_.now();
     if (!cluster_.is_supplier()) {
-        active_ = false;
+        active_ = noted_ = false;
+        placed_since_.clear();
         // Any node may learn the machine types once, so that a first submission need not wait for an election.
         return;
     }
@@ -247,6 +248,7 @@
         d.patience_s = patient;
         in.demands.push_back(std::move(d));
     }
+    note_placed();
     reserve(in);
     supply::Plan p = supply::make_plan(std::move(in));
     // A new supplier sees what its predecessor rented only when the list has caught up.
@@ -277,7 +279,7 @@
     std::vector<const Job*> late;
     const WallMs wall = env_.wall();
     for (const auto& [id, j] : model_.jobs())
-        if (j.spec.shape == wire::Shape::gang && !j.cancelled && j.spec.tasks > 1 && j.pending() == j.spec.tasks &&
+        if (j.spec.shape == wire::Shape::gang && !j.cancelled && j.pending() == j.spec.tasks &&
             static_cast<double>(wall.v - j.submitted.v) > gang_patience_s * 1000 &&
             model_.team_has_room(j.spec.team, j.spec.need, j.spec.tasks))
             late.push_back(&j);
@@ -289,6 +291,7 @@
     std::size_t left = std::max<std::size_t>(in.bins.size() / 4, late.empty() ? 0 : late.front()->spec.tasks);
     for (const Job* j : late) {
         if (j->spec.tasks > left) continue;
+        const sched::Reservation mark{j->spec.job_class, j->spec.rank, 0, j->spec.id};
         std::vector<std::pair<double, supply::Bin*>> order;
         for (auto& b : in.bins) {
             const auto* t = model_.type(b.type);
@@ -312,14 +315,45 @@
         if (order.size() < j->spec.tasks) continue;
         std::stable_sort(order.begin(), order.end(), [](const auto& x, const auto& y) { return x.first < y.first; });
         for (std::size_t i = 0; i < j->spec.tasks; ++i) {
-            sched::Reservation mark{j->spec.job_class, j->spec.rank, 0, j->spec.id};
             order[i].second->reserved = mark;
             chosen[order[i].second->id] = mark;
         }
         left -= j->spec.tasks;
+        make_room(order, j->spec.tasks, j->spec.tasks, j->spec, mark);
     }
 }
 
+// Stopping what saves loses nothing. Of the rest only tasks of lower rank that have just begun are stopped: most of
+// their time so far went into their image, which stays.
+std::optional<double> Supply::loss_of(const MachineId& id, const sched::Reservation& r) const {
+    double loss = 0;
+    for (const auto& ref : model_.on_machine(id)) {
+        const Job* j = model_.job(ref.job);
+        if (j == nullptr || j->spec.rank <= r.rank || j->spec.shape != wire::Shape::array) return std::nullopt;
+        if (sched::yields(j->spec, r)) continue;
+        auto since = placed_since_.find({ref, model_.task(ref).attempt});
+        if (since == placed_since_.end()) return std::nullopt;
+        const double ran = to_s(env_.now() - since->second);
+        if (ran > policy_.preempt_loss_s) return std::nullopt;
+        loss += ran;
+    }
+    return loss;
+}
+
+void Supply::note_placed() {
+    const Mono now = env_.now();
+    std::map<std::pair<TaskRef, Attempt>, Mono> still;
+    for (const auto& [id, placed] : model_.machines())
+        for (const auto& ref : placed) {
+            const std::pair key{ref, model_.task(ref).attempt};
+            auto it = placed_since_.find(key);
+            // What was there before this supplier was elected may have run for long.
+            still.emplace(key, it != placed_since_.end() ? it->second : noted_ ? now : now - std::chrono::hours(1));
+        }
+    placed_since_ = std::move(still);
+    noted_ = true;
+}
+
 // Classes whose aim for the wait is shorter than a boot can only be met by machines that stand ready: those that run
 // them now, and as many more as arrive, by the recent rate, while another machine would boot.
 void Supply::reserve(supply::PlanInput& in) {
@@ -346,7 +380,7 @@
         std::size_t waiting = 0;
         for (const auto& d : in.demands)
             if (d.spec->job_class == name) waiting += d.tasks;
-        std::vector<std::pair<int, supply::Bin*>> order;
+        std::vector<std::pair<double, supply::Bin*>> order;
         std::size_t running = 0;
         const sched::Reservation mark{name, a.spec.rank, std::min(within * 0.4, 10.0)};
         for (auto& b : in.bins) {
@@ -358,7 +392,9 @@
                 if (const Job* j = model_.job(ref.job); j != nullptr && j->spec.job_class == name) runs = true;
             running += runs ? 1 : 0;
             const bool was = reserved_.contains(b.id), busy = !model_.on_machine(b.id).empty();
-            order.emplace_back(runs ? 0 : was && !busy ? 1 : !busy ? 2 : was ? 3 : 4 + static_cast<int>(model_.on_machine(b.id).size()), &b);
+            // Of the busy ones those first that lose least when they are cleared.
+            const double loss = busy && !runs ? loss_of(b.id, mark).value_or(1e6) : 0;
+            order.emplace_back(runs ? 0 : was && !busy ? 1 : !busy ? 2 : (was ? 3 : 4) + loss, &b);
         }
         std::stable_sort(order.begin(), order.end(), [](const auto& x, const auto& y) { return x.first < y.first; });
         const std::size_t want = running + waiting + ready;
@@ -384,13 +420,12 @@
 
 // Among the first `n` of the machines kept for a class, clears as many as its waiting tasks lack; returns how many
 // more could be cleared without loss of work.
-std::size_t Supply::make_room(const std::vector<std::pair<int, supply::Bin*>>& order, std::size_t n, std::size_t waiting,
+std::size_t Supply::make_room(const std::vector<std::pair<double, supply::Bin*>>& order, std::size_t n, std::size_t waiting,
                               const wire::JobSpec& spec, const sched::Reservation& r) {
     std::size_t yielding = 0;
-    std::vector<MachineId> can;
+    std::vector<std::pair<double, MachineId>> can;
     for (std::size_t i = 0; i < n; ++i) {
         const supply::Bin& b = *order[i].second;
-        const auto& placed = model_.on_machine(b.id);
         const bool free_now = std::any_of(b.slots.begin(), b.slots.end(), [&](const auto& s) {
             return s.free_at <= 0 && s.room.fits(spec.need);
         });
@@ -398,22 +433,19 @@
             if (waiting > 0) --waiting;
             continue;
         }
-        if (!placed.empty() && std::all_of(placed.begin(), placed.end(), [&](const auto& ref) {
-                const Job* j = model_.job(ref.job);
-                return j != nullptr && sched::yields(j->spec, r);
-            }))
-            can.push_back(b.id);
+        if (auto loss = loss_of(b.id, r); loss && !model_.on_machine(b.id).empty()) can.emplace_back(*loss, b.id);
     }
-    for (const auto& id : can) {
+    std::stable_sort(can.begin(), can.end(), [](const auto& x, const auto& y) { return x.first < y.first; });
+    for (const auto& [loss, id] : can) {
         if (waiting == 0) {
-            ++yielding;
+            if (loss == 0) ++yielding;
             continue;
         }
         --waiting;
         clearing_[id] = env_.now();
         auto k = known_.find(id);
         for (const auto& ref : model_.on_machine(id)) {
-            log::info("event=preempt task={} machine={} for_class={}", ref.str(), id.v, r.job_class);
+            log::info("event=preempt task={} machine={} for_class={} loss_s={:.1f}", ref.str(), id.v, r.job_class, loss);
             if (k != known_.end()) send_(k->second.owner, wire::Preempt{ref.job, ref.task, model_.task(ref).attempt});
         }
     }
--- a/src/supply/supply.h
+++ b/src/supply/supply.h
@@ -62,7 +62,7 @@
     void plan();
     void reserve(supply::PlanInput& in);
     void reserve_for_gangs(supply::PlanInput& in, std::map<MachineId, sched::Reservation>& chosen);
-    std::size_t make_room(const std::vector<std::pair<int, supply::Bin*>>& order, std::size_t n, std::size_t waiting,
+    std::size_t make_room(const std::vector<std::pair<double, supply::Bin*>>& order, std::size_t n, std::size_t waiting,
                           const wire::JobSpec& spec, const sched::Reservation& r);
     void rent(const supply::Kind& k, std::uint32_t count);
     void give_back(std::vector<MachineId> machines, const char* why);
@@ -76,7 +76,7 @@
     Cluster& cluster_;
     CloudClient& cloud_;
     SendPeer send_;
-    bool active_ = false, listing_ = false, listed_ = false;
+    bool active_ = false, listing_ = false, listed_ = false, noted_ = false;
     Mono active_since_{}, list_due_{}, types_due_{};
     std::map<MachineId, Rented> rented_;
     std::map<MachineId, Known> known_;
@@ -87,6 +87,10 @@
     bool cleaning_ = false;
     std::map<std::string, Arrivals> arrivals_;
     std::map<MachineId, sched::Reservation> reserved_;
+    // What stopping all of a machine's tasks for work of this rank would lose, in seconds; nothing when it may not be.
+    std::optional<double> loss_of(const MachineId& id, const sched::Reservation& r) const;
+    void note_placed();
+    std::map<std::pair<TaskRef, Attempt>, Mono> placed_since_;  // as this supplier saw it
     std::map<MachineId, Mono> clearing_;  // its tasks were asked to make room
 };
 
