--- a/src/sched/logic.cpp
+++ b/src/sched/logic.cpp
@@ -16,7 +16,7 @@
 }
 
 bool yields(const wire::JobSpec& s, const Reservation& r) {
-    return s.rank > r.rank && s.shape == wire::Shape::array && s.checkpoint_s > 0 && s.save_s <= r.save_s;
+    return s.rank > r.rank && s.shape == wire::Shape::array && s.checkpoint_s > 0 && r.save_s > 0 && s.save_s <= r.save_s;
 }
 
 bool may_use(const wire::JobSpec& s, const Reservation& r) {
--- a/src/supply/supply.cpp
+++ b/src/supply/supply.cpp
@@ -9,6 +9,7 @@
 namespace zd {
 namespace {
 constexpr Duration tick_every = std::chrono::milliseconds(500);
+constexpr std::size_t most_returned = 100;  // machines in one call, by the protocol
 constexpr double gang_patience_s = 15;  // before machines are kept for a gang
 constexpr Duration fresh_beat = std::chrono::seconds(3);
 }  // namespace
@@ -53,6 +54,7 @@
     Mono now = env_.now();
     if (!cluster_.is_supplier()) {
         active_ = noted_ = false;
+        drained_.clear();
         placed_since_.clear();
         // Any node may learn the machine types once, so that a first submission need not wait for an election.
         return;
@@ -71,7 +73,11 @@
     }
     std::erase_if(gone_, [&](const auto& g) { return now - g.second > seconds(settings_.list_lag_s * 3 + 30); });
     std::erase_if(known_, [&](const auto& k) { return now - k.second.at > seconds(60); });
-    if (listed_ && store_.reachable()) {
+    if (listed_) {
+        if (!drained_.empty()) {
+            auto all = std::exchange(drained_, {});
+            give_back({all.begin(), all.end()}, "idle");
+        }
         plan();
         clean_strays();
     }
@@ -394,15 +400,19 @@
             const bool was = reserved_.contains(b.id), busy = !model_.on_machine(b.id).empty();
             // Of the busy ones those first that lose least when they are cleared.
             const double loss = busy && !runs ? loss_of(b.id, mark).value_or(1e6) : 0;
-            order.emplace_back(runs ? 0 : was && !busy ? 1 : !busy ? 2 : (was ? 3 : 4) + loss, &b);
+            order.emplace_back(runs ? 0 : clearing_.contains(b.id) ? 0.5 : was && !busy ? 1 : !busy ? 2 : (was ? 3 : 4) + loss, &b);
         }
         std::stable_sort(order.begin(), order.end(), [](const auto& x, const auto& y) { return x.first < y.first; });
         const std::size_t want = running + waiting + ready;
+        const std::size_t yielding = make_room(order, std::min(want, order.size()), waiting, a.spec, mark);
+        // While tasks of the class wait, nobody else uses its machines, however soon it would yield: of a machine being
+        // cleared, the first half that came free was taken again before the second was.
+        sched::Reservation kept = mark;
+        if (waiting > 0) kept.save_s = 0;
         for (std::size_t i = 0; i < std::min(want, order.size()); ++i) {
-            order[i].second->reserved = mark;
-            chosen[order[i].second->id] = mark;
+            order[i].second->reserved = kept;
+            chosen[order[i].second->id] = kept;
         }
-        const std::size_t yielding = make_room(order, std::min(want, order.size()), waiting, a.spec, mark);
         supply::Demand d;
         d.spec = &a.spec;
         d.pin = a.pin;
@@ -503,7 +513,8 @@
 }
 
 void Supply::on_drained(const wire::Drained& m) {
-    if (cluster_.is_supplier()) give_back({m.machine}, "idle");
+    // Together with others: a call for each machine spent the cloud's budget, and rents waited behind them.
+    if (cluster_.is_supplier()) drained_.insert(m.machine);
 }
 
 void Supply::on_gone(const wire::Gone& m) {
@@ -520,7 +531,7 @@
         return it != rented_.end() && it->second.returning;
     });
     if (machines.empty()) return;
-    if (machines.size() > 100) machines.resize(100);
+    if (machines.size() > most_returned) machines.resize(most_returned);
     for (const auto& id : machines) {
         if (auto it = rented_.find(id); it != rented_.end()) it->second.returning = true;
         log::info("event=return machine={} reason={}", id.v, why);
--- a/src/supply/supply.h
+++ b/src/supply/supply.h
@@ -91,6 +91,7 @@
     std::optional<double> loss_of(const MachineId& id, const sched::Reservation& r) const;
     void note_placed();
     std::map<std::pair<TaskRef, Attempt>, Mono> placed_since_;  // as this supplier saw it
+    std::set<MachineId> drained_;  // empty by their owners' word, to be returned together
     std::map<MachineId, Mono> clearing_;  // its tasks were asked to make room
 };
 
