--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -10,8 +10,8 @@
 };
 
 struct Policy {
-    double idle_keep_s = 20;       // seconds that an empty machine is kept at least
-    double idle_keep_boots = 1.0;  // and as a multiple of its type's boot time
+    double idle_keep_s = 10;       // seconds that an empty machine is kept at least
+    double idle_keep_boots = 0.3;  // and as a multiple of its type's boot time
     double silent_keep_s = 15;     // seconds beyond its lease that a silent machine is kept
     double boot_limit = 3;         // times its type's boot time after which a boot is given up
     double refused_pause_s = 10;   // seconds that a kind of machine is not asked for after a refusal
