--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -304,17 +304,20 @@
            now - m.last_heard < seconds(settings_.report_s * 2.5);
 }
 
-// Arrays that have waited a while and come before this job. The relays ask each for its own jobs; without an order
+// Arrays that come before this job: those that have waited a while, and those with fewer machines to go to. The relays ask each for its own jobs; without an order
 // among them, what one relay held could wait for minutes while another's newer work took each place that came free.
 std::vector<const Job*> Fleet::elders(const Job& j) const {
     std::vector<const Job*> out;
     const WallMs wall = env_.wall();
-    for (const auto& [id, o] : model_.jobs())
-        if (o.spec.shape != wire::Shape::gang && !o.cancelled && o.pending() > 0 &&
-            static_cast<double>(wall.v - o.submitted.v) > elder_wait_s * 1000 &&
-            sched::comes_before(o, j, elder_apart_s + settings_.skew_ms / 500) &&
-            model_.team_has_room(o.spec.team, o.spec.need, 1))
-            out.push_back(&o);
+    for (const auto& [id, o] : model_.jobs()) {
+        if (o.spec.shape == wire::Shape::gang || o.cancelled || o.pending() == 0 || id == j.spec.id) continue;
+        const bool older = static_cast<double>(wall.v - o.submitted.v) > elder_wait_s * 1000 &&
+                           sched::comes_before(o, j, elder_apart_s + settings_.skew_ms / 500);
+        // Tasks a little too large for the common type waited for the few large machines, which smaller ones filled.
+        const bool needier = o.spec.rank <= j.spec.rank && sched::has_less_choice(o.spec, j.spec, model_.types());
+        if ((older && !sched::has_less_choice(j.spec, o.spec, model_.types())) || needier)
+            if (model_.team_has_room(o.spec.team, o.spec.need, 1)) out.push_back(&o);
+    }
     return out;
 }
 
@@ -324,7 +327,7 @@
     if (job != nullptr && cluster_.synced() && !job->cancelled) {
         out.whole = job->spec.shape == wire::Shape::gang;
         const Mono now = env_.now();
-        const auto before = elders(*job);
+        std::optional<std::vector<const Job*>> before;  // looked up only where there is room: in a burst there is none
         std::vector<sched::Candidate> candidates;
         for (auto& [id, m] : machines_) {
             if (!usable(id, m) || !sched::machine_allowed(job->spec, job->pinned_zone, m.type, m.zone, m.spot)) continue;
@@ -336,7 +339,8 @@
                 continue;
             sched::Candidate c{id, m.zone, free_room(id, m), type->room, false, std::min(m.errors, 5)};
             if (!c.free.fits(ask.need)) continue;
-            const bool wanted = std::any_of(before.begin(), before.end(), [&](const Job* o) {
+            if (!before) before = elders(*job);
+            const bool wanted = std::any_of(before->begin(), before->end(), [&](const Job* o) {
                 return sched::machine_allowed(o->spec, o->pinned_zone, m.type, m.zone, m.spot) &&
                        c.free.fits(o->spec.need) && sched::worth_using(o->spec, *type, model_.types());
             });
--- a/src/jobs/relay.cpp
+++ b/src/jobs/relay.cpp
@@ -12,6 +12,7 @@
 constexpr Duration round_memory = std::chrono::seconds(6);
 constexpr std::size_t batch = 64;           // tasks of a job in one message
 constexpr int rounds_a_tick = 8;            // what one tick may begin
+constexpr Duration kind_pause = std::chrono::milliseconds(30);
 constexpr Duration tick_every = std::chrono::milliseconds(100);
 
 // Jobs of one kind find room on the same machines. Their amounts vary from job to job, and are compared apart: a key
@@ -96,6 +97,7 @@
     Mono now = env_.now();
     std::erase_if(rounds_, [&](const auto& r) { return now - r.second.since > round_memory; });
     std::erase_if(no_room_, [&](const auto& r) { return r.second.until <= now; });
+    std::erase_if(kind_next_, [&](const auto& k) { return k.second <= now; });
     std::erase_if(waiting_, [&](const auto& w) { return model_.job(w.first) == nullptr; });
 }
 
@@ -128,9 +130,13 @@
         std::erase_if(w.asked, [&](const auto& a) { return now - a.second > asked_limit; });
         if (hand_over(*j, w)) continue;
         if (w.not_before > now) continue;
-        auto closed = no_room_.find(kind_of(*j));
+        const std::string kind = kind_of(*j);
+        if (auto next = kind_next_.find(kind); next != kind_next_.end() && next->second > now) continue;
+        auto closed = no_room_.find(kind);
         if (closed != no_room_.end() && closed->second.until > now && j->spec.need.fits(closed->second.need)) continue;
-        if (ask(*j, w)) ++begun;
+        if (!ask(*j, w)) continue;
+        ++begun;
+        kind_next_[kind] = now + kind_pause;
     }
 }
 
--- a/src/jobs/relay.h
+++ b/src/jobs/relay.h
@@ -70,6 +70,9 @@
         Mono until{};
     };
     std::map<std::string, Full> no_room_;
+    // When the next job of a kind may ask. One round at a time shows whether there is room at all: all waiting jobs of a
+    // burst asking at once took the whole share of the controllers' processors.
+    std::map<std::string, Mono> kind_next_;
     bool woken_ = false;
 };
 
--- a/src/sched/logic.cpp
+++ b/src/sched/logic.cpp
@@ -37,6 +37,17 @@
     return static_cast<double>(b.submitted.v - a.submitted.v) > apart_s * 1000;
 }
 
+bool has_less_choice(const wire::JobSpec& a, const wire::JobSpec& b, const std::vector<wire::MachineType>& types) {
+    bool less = false;
+    for (const auto& t : types) {
+        const bool fits_a = type_allowed(a, t) && worth_using(a, t, types);
+        const bool fits_b = type_allowed(b, t) && worth_using(b, t, types);
+        if (fits_a && !fits_b) return false;
+        less = less || (fits_b && !fits_a);
+    }
+    return less;
+}
+
 std::int64_t score(const Candidate& c, const Room& need, const Room& largest) {
     auto share = [](std::int64_t left, std::int64_t of) { return of > 0 ? left * 1000 / of : 0; };
     std::int64_t room = share(c.free.cpu - need.cpu, largest.cpu) + share(c.free.ram - need.ram, largest.ram);
--- a/src/sched/logic.h
+++ b/src/sched/logic.h
@@ -40,6 +40,10 @@
 // skew and a round of placement are no order.
 bool comes_before(const Job& a, const Job& b, double apart_s);
 
+// True when `a` has fewer kinds of machines to go to than `b`: what fits few types goes first there, and leaves the
+// rest to those that have a choice. By the types alone, GPU machines not counted where others would do.
+bool has_less_choice(const wire::JobSpec& a, const wire::JobSpec& b, const std::vector<wire::MachineType>& types);
+
 // Holders of the image first, then the most free room once the task is there.
 std::int64_t score(const Candidate& c, const Room& need, const Room& largest);
 
--- a/tests/stories_test.cpp
+++ b/tests/stories_test.cpp
@@ -1,8 +1,6 @@
 // Short stories of whole deployments: something goes wrong, no rule breaks, and the work gets done.
 #include <gtest/gtest.h>
 
-#include <cmath>
-
 #include "world.h"
 
 namespace zdtest {
@@ -485,13 +483,17 @@
         std::set<std::string> gone;
         for (const auto& id : dead)
             if (w.workers().contains(id) && !w.workers().at(id).alive) gone.insert(id);
+        // There is work that waits for a machine.
+        w.submit(w.job(id_of(2), 60, 1, 30));
+        w.run(0.3);
         for (const auto& id : dead) w.link(id, w.name(owner), Link::up);
         for (int i = 0; i < 30; ++i) {
             w.run(0.5);
             for (const auto& id : gone) EXPECT_EQ(w.placed_on(id), 0) << id;
         }
         w.cancel(id_of(1));
-        EXPECT_TRUE(told_all(w, {id_of(1)}, 30));
+        w.cancel(id_of(2));
+        EXPECT_TRUE(told_all(w, {id_of(1), id_of(2)}, 30));
         expect_rules(w);
     }
 }
@@ -506,10 +508,11 @@
     for (auto& [id, m] : w.workers()) {
         machines.push_back(id);
         for (int n = 0; n < 3; ++n)
-            for (double d : {50.0, 52.0, 54.0}) w.copy_of_report(id, n, d);
+            for (double d : {50.0, 51.0, 52.0, 54.0}) w.copy_of_report(id, n, d);
     }
+    const double copies_at = w.now() + 50;
     ASSERT_TRUE(w.run_until([&] { return w.workers().empty(); }, 49));
-    w.run(51 - std::fmod(w.now(), 1.0));
+    w.run(copies_at - w.now() - 0.1);
     ids = submit_some(w, 10, 2, 8, 5);
     for (int i = 0; i < 20; ++i) {
         w.run(0.5);
@@ -564,7 +567,7 @@
         EXPECT_EQ(w.on_machines(id_of(1)), 16);  // kept alive meanwhile
         w.cancel(id_of(1), (alone + 1) % 3);
         ASSERT_TRUE(w.run_until([&] { return w.told(id_of(1)) == "withdrawn"; }, 15));
-        EXPECT_TRUE(w.run_until([&] { return w.on_machines(id_of(1)) == 0; }, 30));
+        EXPECT_TRUE(w.run_until([&] { return w.on_machines(id_of(1)) == 0; }, 12));
         w.store.refused.clear();
         for (int n = 0; n < 3; ++n)
             if (n != alone) w.link(w.name(alone), w.name(n), Link::up);
@@ -607,10 +610,11 @@
 
 // What a controller sent before its end arrives after its return: its record must not go with the grant of before.
 TEST(Story, HeldMessagesOfTheLifeBefore) {
-    for (int moment = 0; moment < 8; ++moment) {
+    for (int moment = 0; moment < 24; ++moment) {
         World w;
+        w.run(0.001 * moment);
         w.link("n0", "state", Link::hold);
-        w.run(0.05 + 0.1 * moment);
+        w.run(0.05);
         w.crash(0);
         w.run(0.1);
         w.start_node(0);
