--- a/src/store/store.h
+++ b/src/store/store.h
@@ -71,7 +71,6 @@
     void take(double n) { tokens_ -= n; }
     void drain() { tokens_ = std::min(tokens_, 0.0); }
     double tokens() const { return tokens_; }
-    double rate() const { return rate_; }
     Duration until(double n) const;
 
   private:
