--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -1,4 +1,7 @@
+#include <sys/resource.h>
+
 #include <CLI/CLI.hpp>
+#include <algorithm>
 #include <csignal>
 #include <iostream>
 #include <memory>
@@ -7,6 +10,23 @@
 #include "app/real_env.h"
 #include "base/log.h"
 
+namespace {
+// A process starts with 1,024 files in most places, whatever its settings allow it.
+void raise_file_limit(zd::Settings& settings) {
+    rlimit limit{};
+    if (::getrlimit(RLIMIT_NOFILE, &limit) != 0) return;
+    const rlim_t wanted = rlim_t{settings.max_sockets} + 64;
+    if (limit.rlim_cur >= wanted) return;
+    rlimit raised = limit;
+    raised.rlim_cur = limit.rlim_max == RLIM_INFINITY ? wanted : std::min(wanted, limit.rlim_max);
+    if (::setrlimit(RLIMIT_NOFILE, &raised) == 0) limit = raised;
+    if (limit.rlim_cur >= wanted) return;
+    const auto fewer = static_cast<std::uint32_t>(std::max<rlim_t>(32, limit.rlim_cur - std::min<rlim_t>(limit.rlim_cur, 64)));
+    zd::log::warn("event=few_files open_files={} max_sockets={} used={}", limit.rlim_cur, settings.max_sockets, fewer);
+    settings.max_sockets = std::min(settings.max_sockets, fewer);
+}
+}  // namespace
+
 int main(int argc, char** argv) {
     CLI::App app{"zincdyke: a cluster scheduler"};
     std::string config, policy_file;
@@ -35,6 +55,7 @@
     }
     std::signal(SIGPIPE, SIG_IGN);
     zd::log::setup(settings.node.v);
+    raise_file_limit(settings);
     try {
         zd::Loop loop;
         std::unique_ptr<zd::Node> node;
@@ -43,7 +64,7 @@
         });
         node = std::make_unique<zd::Node>(env, settings, policy);
         zd::ServerLimits limits;
-        limits.connections = settings.max_sockets / 2;
+        limits.connections = settings.sockets().server;
         zd::HttpServer server(loop, settings.api_addr, limits, [&node](zd::HttpRequest req, const zd::Reply& reply) {
             node->on_request(std::move(req), reply);
         });
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -1,6 +1,7 @@
 #include "app/node.h"
 
 #include <algorithm>
+#include <iterator>
 
 #include "base/log.h"
 
@@ -9,6 +10,8 @@
 constexpr Duration beat_every = std::chrono::milliseconds(500);
 constexpr Duration outage_grace = std::chrono::milliseconds(3500);
 constexpr Duration peer_quiet = std::chrono::milliseconds(1800);
+constexpr std::size_t most_in_beat = 500;     // machines; the rest follow in further messages
+constexpr std::uint64_t addresses_every = 20;  // beats
 constexpr double demand_scale = 100;  // in a beat's whole number
 }  // namespace
 
@@ -25,6 +28,8 @@
       supply_(env, settings, policy, store_, model_, cluster_, cloud_,
               [this](const NodeName& to, wire::PeerMessage m) { send(to, std::move(m)); }) {
     model_.on_job = [this](const JobId& id) { relay_.on_job(id); };
+    model_.on_placed = [this](const MachineId& id) { fleet_.on_placed(id); };
+    model_.on_jobs = [this] { fleet_.on_jobs(); };
     cluster_.on_part_gained = [this](std::uint32_t part) { fleet_.on_part_gained(part); };
 }
 
@@ -53,10 +58,28 @@
     for (const auto& [n, p] : peers_)
         if (near(n)) heard[n] = p.write_demand;
     if (cluster_.synced()) cluster_.share_writes(demand, heard);
-    wire::Beat b{store_.reachable(), model_.seen.v, static_cast<std::uint32_t>(demand * demand_scale), fleet_.beats()};
-    supply_.on_beat(settings_.node, b);
-    std::string frame = wire::encode(b);
-    for (const auto& s : settings_.seeds) env_.send_peer(s.node, frame);
+    // What each machine does matters to the supplier alone; the others must know where to announce themselves, should a
+    // part fall to them. Told to all each time, the machines of a large fleet took more of the processors than the work.
+    const NodeName& supplier = model_.supplier();
+    const bool all = beats_++ % addresses_every == 0;
+    wire::Beat b{store_.reachable(), model_.seen.v, static_cast<std::uint32_t>(demand * demand_scale), {}};
+    const std::string bare = wire::encode(b);
+    auto machines = fleet_.beats();
+    std::vector<std::string> full;
+    for (std::size_t at = 0; at == 0 || at < machines.size(); at += most_in_beat) {
+        const auto end = std::min(machines.size(), at + most_in_beat);
+        b.machines.assign(std::make_move_iterator(machines.begin() + static_cast<std::ptrdiff_t>(at)),
+                          std::make_move_iterator(machines.begin() + static_cast<std::ptrdiff_t>(end)));
+        supply_.on_beat(settings_.node, b);
+        full.push_back(wire::encode(b));
+    }
+    for (const auto& s : settings_.seeds) {
+        if (!all && s.node != supplier) {
+            env_.send_peer(s.node, bare);
+            continue;
+        }
+        for (const auto& frame : full) env_.send_peer(s.node, frame);
+    }
 }
 
 bool Node::near(const NodeName& n) {
@@ -127,7 +150,8 @@
                  {{"check_ins", fleet_.counts().check_ins},
                   {"stale", fleet_.counts().stale},
                   {"asks", fleet_.counts().asks},
-                  {"offers", fleet_.counts().offers}}},
+                  {"offers", fleet_.counts().offers},
+                  {"rooms", fleet_.counts().rooms}}},
                 {"rounds",
                  {{"begun", relay_.counts().rounds},
                   {"decided_here", relay_.counts().decided},
--- a/src/app/node.h
+++ b/src/app/node.h
@@ -42,6 +42,7 @@
         double write_demand = 0;
     };
     std::map<NodeName, Peer> peers_;
+    std::uint64_t beats_ = 0;
     Model model_;
     StoreClient store_;
     CloudClient cloud_;
--- a/src/app/real_env.h
+++ b/src/app/real_env.h
@@ -15,14 +15,16 @@
     TimerId after(Duration d, std::function<void()> fn) override { return loop_.after(d, std::move(fn)); }
     void cancel(TimerId id) override { loop_.cancel(id); }
     void http(const std::string& address, HttpRequest req, Duration timeout, Reply done) override {
-        client_.request(address, std::move(req), timeout, std::move(done));
+        HttpClient& client = address == settings_.state ? state_ : address == settings_.cloud ? cloud_ : workers_;
+        client.request(address, std::move(req), timeout, std::move(done));
     }
     void send_peer(const NodeName& to, std::string message) override { peers_.send(to, std::move(message)); }
     std::mt19937_64& rng() override { return rng_; }
 
   private:
     Loop& loop_;
-    HttpClient client_;
+    const Settings& settings_;
+    HttpClient state_, cloud_, workers_;
     PeerLinks peers_;
     std::mt19937_64 rng_;
 };
--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -75,6 +75,20 @@
 
 }  // namespace
 
+Settings::Sockets Settings::sockets() const {
+    constexpr std::size_t own = 16;  // epoll, listeners, standard streams
+    const std::size_t all = max_sockets;
+    Sockets s;
+    s.state = std::clamp<std::size_t>(all / 8, 4, 16);
+    s.cloud = std::clamp<std::size_t>(all / 16, 2, 6);
+    s.workers = std::clamp<std::size_t>(all / 12, 4, 256);
+    // One each way; a peer that is back after a cut dials anew before the old links are seen to be dead.
+    s.peers = 5 * seeds.size() + 8;
+    const std::size_t taken = own + s.state + s.cloud + s.workers + s.peers;
+    s.server = all > taken + 8 ? all - taken : 8;
+    return s;
+}
+
 std::vector<NodeName> Settings::all_nodes() const {
     std::vector<NodeName> names{node};
     for (const auto& s : seeds) names.push_back(s.node);
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -43,6 +43,12 @@
     double core_share = 1, memory_mb = 0;
     std::uint32_t max_sockets = 1024;
 
+    // How the sockets are shared out. What users and workers may hold is what our own calls leave.
+    struct Sockets {
+        std::size_t state = 0, cloud = 0, workers = 0, peers = 0, server = 0;
+    };
+    Sockets sockets() const;
+
     // All nodes of the deployment, this one included, in name order.
     std::vector<NodeName> all_nodes() const;
 };
--- a/src/cluster/cluster.cpp
+++ b/src/cluster/cluster.cpp
@@ -24,8 +24,11 @@
 
 void Cluster::watch_presence() {
     env_.after(millis(50), [this] { watch_presence(); });
+    const bool stood_still = awake_ != Mono{} && env_.now() - awake_ >= stall_limit;
+    awake_ = env_.now();
+    if (stood_still) log::warn("event=stood_still");
     if (!synced_ || loading_) return;
-    if (!store_.reachable()) {
+    if (!store_.reachable() || stood_still) {
         stale_ = true;
         watch_now_ = false;
     } else if (stale_ && !std::exchange(watch_now_, true)) {
@@ -185,20 +188,27 @@
     });
 }
 
+void Cluster::reload() {
+    log::warn("event=state_read_anew revision={}", model_.seen.v);
+    watch_fails_ = 0;
+    stale_ = true;
+    load("", {});
+}
+
 void Cluster::watch() {
     store_.watch("z/", model_.seen, stale_, [this, run = watch_run_](ListResult r) {
         if (run != watch_run_) return;
         const bool asked_anew = std::exchange(watch_now_, false) && stale_;
-        if (r.too_old) {
-            log::warn("event=watch_too_old revision={}", model_.seen.v);
-            return load("", {});
-        }
+        if (r.too_old) return reload();
         if (r.outcome != Outcome::ok) {
+            // Others are served: the answer may be longer than we take. Its pages are not.
+            if (store_.reachable() && ++watch_fails_ >= 3) return reload();
             env_.after(millis(200), [this, run] {
                 if (run == watch_run_) watch();
             });
             return;
         }
+        watch_fails_ = 0;
         for (const auto& i : r.items) model_.apply(i);
         model_.seen = std::max(model_.seen, r.revision);
         if (asked_anew) stale_ = false;
--- a/src/cluster/cluster.h
+++ b/src/cluster/cluster.h
@@ -21,7 +21,8 @@
     bool synced() const { return synced_; }
     // The state service answers, and what it holds was read since it last went away: nothing is decided on the view
     // from before a cut. Back from one, a supplier took the machines that others had long taken over for silent ones.
-    bool in_touch() const { return synced_ && !stale_ && store_.reachable(); }
+    // Nor is anything on the view from before this process stood still: its own timer, overdue, tells so before it runs.
+    bool in_touch() const { return synced_ && !stale_ && store_.reachable() && env_.now() - awake_ < stall_limit; }
     // Term of a part that this process owns, as far as it knows.
     std::optional<Term> term(std::uint32_t part) const;
     std::optional<Term> term_of(const MachineId& m) const { return term(model_.part_of(m)); }
@@ -53,6 +54,7 @@
     void load(const std::string& after, Revision from);
     void watch();
     void watch_presence();
+    void reload();
     void changed();
     void review();
     void claim(std::uint32_t part);
@@ -65,7 +67,10 @@
     std::uint64_t grant_ = 0;
     bool registered_ = false, registering_ = false, acquiring_ = false, renewing_ = false, loading_ = false, synced_ = false, standing_ = false;
     Revision incarnation_;
+    static constexpr Duration stall_limit = std::chrono::seconds(1);
+    Mono awake_{};
     std::uint64_t watch_run_ = 0;
+    int watch_fails_ = 0;
     bool stale_ = false, watch_now_ = false;
     double write_share_ = 0;  // 0: one by the number of nodes
     std::map<std::uint32_t, Term> claims_;  // won by this process
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -9,7 +9,7 @@
 constexpr Duration hold_limit = std::chrono::milliseconds(2500);
 constexpr Duration hold_answer = std::chrono::milliseconds(700);  // well below the 4 s that a worker waits
 constexpr std::size_t most_machines = 20'000;
-constexpr std::size_t most_gone = 4096;
+constexpr std::size_t most_gone = 16'384;
 constexpr std::size_t most_announcements = 24;  // under way at once
 constexpr double elder_wait_s = 5;   // what has waited so long
 constexpr double elder_apart_s = 3;  // and is older by so much goes first,
@@ -114,6 +114,7 @@
         log::info("event=spot_notice machine={} seconds={:.1f} tasks={}", r.machine.v, *r.notice_s, r.tasks.size());
     m.notice_s = r.notice_s;
     m.notice_at = now;
+    m.free.reset();
     std::map<TaskRef, Seen> old = std::move(m.tasks);
     m.tasks.clear();
     m.ended.clear();
@@ -264,7 +265,21 @@
     log::info("event=machine_blocked machine={} job={} errors={}", id.v, job.v, m.errors);
 }
 
-Room Fleet::free_room(const MachineId& id, const Machine& m) const {
+// Every ask looks at every machine: worked out each time, this was a quarter of all processor time in a burst.
+Room Fleet::free_room(const MachineId& id, Machine& m) {
+    if (!m.free || m.free_epoch != room_epoch_) {
+        ++counts_.rooms;
+        m.free = work_out_room(id, m);
+        m.free_epoch = room_epoch_;
+    }
+    return *m.free;
+}
+
+void Fleet::on_placed(const MachineId& id) {
+    if (auto m = machines_.find(id); m != machines_.end()) m->second.free.reset();
+}
+
+Room Fleet::work_out_room(const MachineId& id, const Machine& m) const {
     const auto* type = model_.type(m.type);
     if (type == nullptr) return {};
     Room free = type->room;
@@ -280,14 +295,56 @@
             if (j == nullptr) return {};
             free -= j->spec.need;
         }
-    for (const auto& h : holds_)
-        if (h.machine == id) free -= h.room;
-    for (const auto& [ref, start] : starting_)
-        if (start.first == id && !placed.contains(ref)) free -= start.second;
+    if (auto p = promised_.find(id); p != promised_.end()) {
+        free -= p->second.held;
+        for (const auto& [ref, room] : p->second.starting)
+            if (!placed.contains(ref)) free -= room;
+    }
     return free;
 }
 
-void Fleet::tell_freed(const MachineId& id, const Machine& m) {
+void Fleet::hold(const wire::RoundId& round, const Room& each, const std::vector<wire::Offer>& offers) {
+    if (offers.empty()) return;
+    let_go(round);
+    Round& r = holds_[round];
+    r.each = each;
+    r.until = env_.now() + hold_limit;
+    for (const auto& o : offers) {
+        r.machines.push_back(o.machine);
+        promised_[o.machine].held += each;
+        on_placed(o.machine);
+    }
+}
+
+void Fleet::let_go(const wire::RoundId& round) {
+    auto it = holds_.find(round);
+    if (it == holds_.end()) return;
+    for (const auto& id : it->second.machines) {
+        Promised& p = promised_[id];
+        p.held -= it->second.each;
+        on_placed(id);
+        if (p.held == Room{} && p.starting.empty()) promised_.erase(id);
+    }
+    holds_.erase(it);
+}
+
+void Fleet::start(const TaskRef& ref, const MachineId& id, const Room& room) {
+    starting_[ref] = id;
+    promised_[id].starting[ref] = room;
+    on_placed(id);
+}
+
+void Fleet::started(const TaskRef& ref) {
+    auto it = starting_.find(ref);
+    if (it == starting_.end()) return;
+    Promised& p = promised_[it->second];
+    p.starting.erase(ref);
+    on_placed(it->second);
+    if (p.held == Room{} && p.starting.empty()) promised_.erase(it->second);
+    starting_.erase(it);
+}
+
+void Fleet::tell_freed(const MachineId& id, Machine& m) {
     if (!usable(id, m) || !model_.work_waits()) return;
     const Room free = free_room(id, m);
     auto [it, first] = freed_.try_emplace(m.type, free);
@@ -335,15 +392,17 @@
         std::optional<std::vector<const Job*>> before;  // looked up only where there is room: in a burst there is none
         std::vector<sched::Candidate> candidates;
         for (auto& [id, m] : machines_) {
-            if (!usable(id, m) || !sched::machine_allowed(job->spec, job->pinned_zone, m.type, m.zone, m.spot)) continue;
+            const Room free = free_room(id, m);
+            if (!free.fits(ask.need) || !usable(id, m) ||
+                !sched::machine_allowed(job->spec, job->pinned_zone, m.type, m.zone, m.spot))
+                continue;
             const auto* type = model_.type(m.type);
             if (type == nullptr || !sched::worth_using(job->spec, *type, model_.types())) continue;
             // A supplier that is gone leaves no reservations behind.
             if (auto kept = reserved_.find(id); kept != reserved_.end() && !sched::may_use(job->spec, kept->second) &&
                                                 env_.now() - reserved_at_ < seconds(6))
                 continue;
-            sched::Candidate c{id, m.zone, free_room(id, m), type->room, false, std::min(m.errors, 5)};
-            if (!c.free.fits(ask.need)) continue;
+            sched::Candidate c{id, m.zone, free, type->room, false, std::min(m.errors, 5)};
             if (!before) before = elders(*job);
             const bool wanted = std::any_of(before->begin(), before->end(), [&](const Job* o) {
                 return sched::machine_allowed(o->spec, o->pinned_zone, m.type, m.zone, m.spot) &&
@@ -361,13 +420,13 @@
         }
         out.offers = sched::rank(candidates, ask.need, ask.tasks.size());
         counts_.offers += out.offers.size();
-        for (const auto& o : out.offers) holds_.push_back({ask.round, o.machine, ask.need, env_.now() + hold_limit});
+        hold(ask.round, ask.need, out.offers);
     }
     send_(ask.gatherer, std::move(out));
 }
 
 void Fleet::on_verdict(const wire::Verdict& v) {
-    std::erase_if(holds_, [&](const auto& h) { return h.round == v.round; });
+    let_go(v.round);
     const Job* job = model_.job(v.job);
     std::vector<TaskIndex> again;
     for (const auto& a : v.yes) {
@@ -380,9 +439,9 @@
             continue;
         }
         it->second.kept_since = {};
-        starting_[ref] = {a.machine, job->spec.need};
+        start(ref, a.machine, job->spec.need);
         ledger_.place(ref, a.machine, it->second.zone, [this, ref, round = v.round, m = a.machine](bool placed) {
-            starting_.erase(ref);
+            started(ref);
             if (placed) return answer_soon(m);
             send_(round.relay, wire::Unplaced{round, ref.job, {ref.task}});
         });
@@ -397,8 +456,7 @@
 
 bool Fleet::empty(const MachineId& id, const Machine& m) const {
     if (!model_.on_machine(id).empty() || !m.tasks.empty()) return false;
-    if (std::any_of(holds_.begin(), holds_.end(), [&](const auto& h) { return h.machine == id; })) return false;
-    return std::none_of(starting_.begin(), starting_.end(), [&](const auto& s) { return s.second.first == id; });
+    return !promised_.contains(id);
 }
 
 void Fleet::on_drain(const NodeName& from, const wire::Drain& d) {
@@ -427,7 +485,7 @@
 }
 
 void Fleet::on_reserve(const wire::Reserve& m) {
-    reserved_.clear();
+    if (m.first) reserved_.clear();
     for (const auto& r : m.machines) reserved_[r.machine] = {r.job_class, r.rank, r.save_ms / 1000.0, r.job};
     reserved_at_ = env_.now();
 }
@@ -572,8 +630,12 @@
 
 void Fleet::sweep() {
     env_.after(millis(500), [this] { sweep(); });
+    ++room_epoch_;  // machine types may have changed
     Mono now = env_.now();
-    std::erase_if(holds_, [&](const auto& h) { return h.until < now; });
+    std::vector<wire::RoundId> unanswered;
+    for (const auto& [round, r] : holds_)
+        if (r.until < now) unanswered.push_back(round);
+    for (const auto& round : unanswered) let_go(round);
     std::erase_if(stops_, [&](const auto& s) {
         TaskState t = model_.task(s.first.first);
         return t.at != TaskState::At::placed || t.attempt != s.first.second;
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -37,9 +37,12 @@
     void on_part_gained(std::uint32_t part);
     std::vector<wire::MachineBeat> beats();
     struct Counts {
-        std::uint64_t check_ins = 0, stale = 0, asks = 0, offers = 0;
+        std::uint64_t check_ins = 0, stale = 0, asks = 0, offers = 0, rooms = 0;
     };
     const Counts& counts() const { return counts_; }
+    // What is placed on a machine changed; a job did.
+    void on_placed(const MachineId& id);
+    void on_jobs() { ++room_epoch_; }
     // Stops a task, with time to save if it can.
     void on_preempt(const wire::Preempt& m);
 
@@ -88,6 +91,9 @@
         NodeName drain_for;
         Mono drain_since{};
         Mono idle_since{};
+        // Its free room as last worked out; nothing, or of an older `room_epoch_`: to be worked out anew.
+        std::optional<Room> free;
+        std::uint64_t free_epoch = 0;
         Mono kept_since{};  // its room was refused to a later job for the sake of an earlier one
     };
     // A check-in whose answer waits a moment for the orders that its news will bring.
@@ -96,20 +102,31 @@
         Reply reply;
         Env::TimerId timer = 0;
     };
-    struct Hold {
-        wire::RoundId round;
-        MachineId machine;
-        Room room;
+    // Room offered in one round, until its gatherer answers.
+    struct Round {
+        std::vector<MachineId> machines;  // one entry for each offer
+        Room each;
         Mono until;
     };
+    // What a machine's room is promised to. Kept by machine: a search through all holds for each machine of each ask
+    // grew with the square of the fleet.
+    struct Promised {
+        Room held;
+        std::map<TaskRef, Room> starting;  // said yes to, not yet committed
+    };
+    void hold(const wire::RoundId& round, const Room& each, const std::vector<wire::Offer>& offers);
+    void let_go(const wire::RoundId& round);
+    void start(const TaskRef& ref, const MachineId& id, const Room& room);
+    void started(const TaskRef& ref);
     void answer(const MachineId& id);
     void answer_soon(const MachineId& id);
     bool worth_waiting(const MachineId& id, const Machine& m, const wire::Report& r) const;
     void take_report(Machine& m, const wire::Report& r, Term mine, bool checkin);
     std::vector<wire::Order> orders_for(const MachineId& id, Machine& m, const wire::Report& r, Term mine);
-    Room free_room(const MachineId& id, const Machine& m) const;
+    Room free_room(const MachineId& id, Machine& m);
+    Room work_out_room(const MachineId& id, const Machine& m) const;
     std::vector<const Job*> elders(const Job& j) const;
-    void tell_freed(const MachineId& id, const Machine& m);
+    void tell_freed(const MachineId& id, Machine& m);
     bool usable(const MachineId& id, const Machine& m) const;
     void note_error(const MachineId& id, Machine& m, const JobId& job);
     bool has_image(const MachineId& id, const Machine& m, const std::string& image) const;
@@ -127,9 +144,11 @@
     Ledger& ledger_;
     SendPeer send_;
     std::unordered_map<MachineId, Machine> machines_;
-    std::vector<Hold> holds_;
+    std::uint64_t room_epoch_ = 1;
+    std::map<wire::RoundId, Round> holds_;
+    std::unordered_map<MachineId, Promised> promised_;
     std::unordered_map<MachineId, Held> held_;
-    std::map<TaskRef, std::pair<MachineId, Room>> starting_;  // said yes to, not yet committed
+    std::map<TaskRef, MachineId> starting_;
     std::map<std::string, Room> freed_;  // by type, to be told in a moment
     std::map<std::pair<TaskRef, Attempt>, Mono> stops_;       // asked to stop
     std::map<JobId, std::set<MachineId>> job_errors_;
--- a/src/jobs/ledger.cpp
+++ b/src/jobs/ledger.cpp
@@ -16,7 +16,7 @@
 constexpr std::size_t most_bytes = 48 * 1024;             // of a transaction, well below the service's 64 KiB
 constexpr std::size_t most_sent = 256;                    // operations in one message
 constexpr std::size_t most_ops = 20'000;                  // waiting at a home; more are refused
-constexpr std::size_t most_record = 60'000;               // bytes of a record in a message
+constexpr std::size_t most_records = 60'000;              // bytes of records in a message
 }  // namespace
 
 Ledger::Ledger(Env& env, const Settings& settings, StoreClient& store, Model& model, Cluster& cluster, SendPeer send,
@@ -174,11 +174,13 @@
 void Ledger::send_results(const Txn* txn, Revision r) {
     results_armed_ = false;
     std::vector<wire::Record> records;
+    std::size_t bytes = 0;
     if (txn != nullptr)
         for (const auto& w : txn->writes) {
             if (w.key.rfind(keys::live, 0) != 0) continue;
             wire::Record rec{w.key, w.value ? w.value->dump() : "", r.v};
-            if (rec.value.size() <= most_record) records.push_back(std::move(rec));
+            bytes += rec.value.size();
+            if (bytes <= most_records) records.push_back(std::move(rec));
         }
     for (auto& [to, ops] : std::exchange(results_, {})) send_(to, wire::Settled{std::move(ops), records});
 }
--- a/src/jobs/relay.cpp
+++ b/src/jobs/relay.cpp
@@ -1,6 +1,7 @@
 #include "jobs/relay.h"
 
 #include <algorithm>
+#include <tuple>
 
 #include "base/log.h"
 
@@ -13,6 +14,7 @@
 constexpr std::size_t batch = 64;           // tasks of a job in one message
 constexpr int rounds_a_tick = 8;            // what one tick may begin
 constexpr Duration kind_pause = std::chrono::milliseconds(30);
+constexpr Duration plan_apart = std::chrono::milliseconds(20);
 constexpr Duration tick_every = std::chrono::milliseconds(100);
 
 // Jobs of one kind find room on the same machines. Their amounts vary from job to job, and are compared apart: a key
@@ -49,7 +51,9 @@
 
 void Relay::wake() {
     if (std::exchange(woken_, true)) return;
-    env_.after(millis(5), [this] {
+    // Every change of a job wakes it: each plan walks all jobs, so that they keep a distance.
+    const Duration since = env_.now() - planned_;
+    env_.after(std::max(Duration(millis(5)), Duration(plan_apart) - since), [this] {
         woken_ = false;
         plan();
     });
@@ -73,18 +77,28 @@
     wake();
 }
 
-bool Relay::within_guarantee(const Model& model, const Job& j) {
-    const Team* t = model.team_settings(j.spec.team);
-    if (t == nullptr) return false;
-    if (t->cpu == 0 && t->gpu == 0) return false;
-    std::int64_t cpu = 0, gpu = 0;
-    for (const auto& [id, o] : model.jobs()) {
-        if (o.spec.team != j.spec.team || o.submitted > j.submitted) continue;
-        auto left = static_cast<std::int64_t>(o.spec.tasks - o.done);
-        cpu += o.spec.need.cpu * left;
-        gpu += o.spec.need.gpu * left;
+// One pass for all jobs: judged one by one, each against all others, they took a quarter of a controller's share.
+std::unordered_set<const Job*> Relay::within_guarantee(const Model& model) {
+    std::map<TeamName, std::vector<const Job*>> by_team;
+    for (const auto& [id, j] : model.jobs())
+        if (const Team* t = model.team_settings(j.spec.team); t != nullptr && (t->cpu > 0 || t->gpu > 0))
+            by_team[t->name].push_back(&j);
+    std::unordered_set<const Job*> out;
+    for (auto& [name, jobs] : by_team) {
+        const Team& t = *model.team_settings(name);
+        std::sort(jobs.begin(), jobs.end(), [](const Job* a, const Job* b) {
+            return std::tie(a->submitted, a->spec.id) < std::tie(b->submitted, b->spec.id);
+        });
+        std::int64_t cpu = 0, gpu = 0;
+        for (const Job* j : jobs) {
+            const auto left = static_cast<std::int64_t>(j->spec.tasks - j->done);
+            cpu += j->spec.need.cpu * left;
+            gpu += j->spec.need.gpu * left;
+            if ((t.cpu > 0 && cpu > t.cpu) || (t.gpu > 0 && gpu > t.gpu)) break;
+            out.insert(j);
+        }
     }
-    return (t->cpu == 0 || cpu <= t->cpu) && (t->gpu == 0 || gpu <= t->gpu);
+    return out;
 }
 
 void Relay::tick() {
@@ -104,22 +118,22 @@
 void Relay::plan() {
     // A node without the state service starts nothing.
     if (!cluster_.in_touch()) return;
-    Mono now = env_.now();
+    const Mono now = env_.now();
+    planned_ = now;
     std::vector<const Job*> mine;
     for (const auto& [id, j] : model_.jobs()) {
-        if (cluster_.relay_of(j) != settings_.node) continue;
-        if ((j.cancelled && j.placed == 0) || j.done == j.spec.tasks) {
-            ledger_.close_job(id);
-            continue;
-        }
-        if (!j.cancelled && j.pending() > 0) mine.push_back(&j);
+        const bool over = (j.cancelled && j.placed == 0) || j.done == j.spec.tasks;
+        const bool waits = !j.cancelled && j.pending() > 0;
+        if ((!over && !waits) || cluster_.relay_of(j) != settings_.node) continue;
+        if (over) ledger_.close_job(id);
+        else mine.push_back(&j);
     }
     if (mine.empty()) return;
-    std::map<const Job*, bool> guaranteed;
-    for (const Job* j : mine) guaranteed[j] = within_guarantee(model_, *j);
+    const auto guaranteed = within_guarantee(model_);
     std::sort(mine.begin(), mine.end(), [&](const Job* a, const Job* b) {
         if (a->spec.rank != b->spec.rank) return a->spec.rank < b->spec.rank;
-        if (guaranteed[a] != guaranteed[b]) return guaranteed[a];
+        const bool first = guaranteed.contains(a);
+        if (first != guaranteed.contains(b)) return first;
         if (a->submitted != b->submitted) return a->submitted < b->submitted;
         return a->spec.id < b->spec.id;
     });
--- a/src/jobs/relay.h
+++ b/src/jobs/relay.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <set>
+#include <unordered_set>
 #include <vector>
 
 #include "base/env.h"
@@ -28,8 +29,8 @@
         std::uint64_t rounds = 0, decided = 0, decide_ms = 0, unplaced = 0;
     };
     const Counts& counts() const { return counts_; }
-    // A job's share of its team: true while the team's unfinished earlier jobs and this one fit its guarantee.
-    static bool within_guarantee(const Model& model, const Job& j);
+    // The jobs that fit their team's guarantee together with the team's earlier unfinished ones.
+    static std::unordered_set<const Job*> within_guarantee(const Model& model);
 
   private:
     struct Waiting {
@@ -78,6 +79,7 @@
     // burst asking at once took the whole share of the controllers' processors.
     std::map<std::string, Mono> kind_next_;
     bool woken_ = false;
+    Mono planned_{};
     Counts counts_;
 };
 
--- a/src/loop/http.cpp
+++ b/src/loop/http.cpp
@@ -112,8 +112,8 @@
 
 void HttpServer::accept_all() {
     for (int i = 0; i < 64; ++i) {
-        if (connections_.size() >= limits_.connections) {
-            // Full: leave the rest in the backlog for others to be tried by the load balancer.
+        if (connections_.size() >= limits_.connections && !make_room()) {
+            // Full of busy ones: the rest stays in the backlog, for others to be tried by the load balancer.
             loop_.change(listener_.get(), 0);
             paused_ = true;
             return;
@@ -138,6 +138,23 @@
     }
 }
 
+// The whole fleet may come to one surviving controller. Whoever is idle longest makes room, so that neither a worker's
+// report nor a health check is kept waiting by connections that nobody uses.
+bool HttpServer::make_room() {
+    std::shared_ptr<Connection> longest;
+    for (const auto& [fd, c] : connections_)
+        if (c->wait == Connection::Wait::idle && (!longest || c->since < longest->since)) longest = c;
+    if (!longest || loop_.now() - longest->since < limits_.evict_after) return false;
+    close(longest);
+    return true;
+}
+
+void HttpServer::resume() {
+    if (!paused_ || connections_.size() >= limits_.connections) return;
+    paused_ = false;
+    loop_.change(listener_.get(), EPOLLIN);
+}
+
 void HttpServer::sweep() {
     Mono now = loop_.now();
     std::vector<std::shared_ptr<Connection>> late;
@@ -149,11 +166,10 @@
         if (now - c->since > most) late.push_back(c);
     }
     for (auto& c : late) close(c);
-    if (paused_ && connections_.size() < limits_.connections) {
-        paused_ = false;
-        loop_.change(listener_.get(), EPOLLIN);
-    }
-    loop_.after(millis(500), [this] { sweep(); });
+    // One that was busy or fresh may have become idle long enough meanwhile.
+    if (paused_ && connections_.size() >= limits_.connections) make_room();
+    resume();
+    loop_.after(millis(250), [this] { sweep(); });
 }
 
 void HttpServer::on_event(const std::shared_ptr<Connection>& c, std::uint32_t events) {
@@ -270,10 +286,7 @@
     auto keep = c;
     connections_.erase(raw);
     keep->fd.reset();
-    if (paused_ && connections_.size() < limits_.connections) {
-        paused_ = false;
-        loop_.change(listener_.get(), EPOLLIN);
-    }
+    resume();
 }
 
 // ---- client ----
@@ -330,7 +343,11 @@
         }
         auto free = std::find_if(host.open.begin(), host.open.end(), [](const auto& c) { return !c->call; });
         if (free == host.open.end()) {
-            if (host.open.size() >= limits_.per_address || total_ >= limits_.connections) return;
+            if (host.open.size() >= limits_.per_address) return;
+            if (total_ >= limits_.connections && !make_room()) {
+                if (std::find(hungry_.begin(), hungry_.end(), address) == hungry_.end()) hungry_.push_back(address);
+                return;
+            }
             open(address);
             free = std::find_if(host.open.begin(), host.open.end(), [](const auto& c) { return !c->call; });
             if (free == host.open.end()) {
@@ -346,6 +363,24 @@
     }
 }
 
+// Kept-alive connections to those already told must not keep the others from being told.
+bool HttpClient::make_room() {
+    std::shared_ptr<Connection> longest;
+    for (const auto& [address, host] : hosts_)
+        for (const auto& c : host.open)
+            if (!c->call && (!longest || c->since < longest->since)) longest = c;
+    if (!longest) return false;
+    drop(longest);
+    return true;
+}
+
+void HttpClient::feed_hungry() {
+    if (hungry_.empty()) return;
+    const std::string address = std::move(hungry_.front());
+    hungry_.pop_front();
+    pump(address);
+}
+
 void HttpClient::open(const std::string& address) {
     Fd fd = start_connect(address);
     if (!fd.valid()) return;
@@ -412,6 +447,7 @@
     if (!keep) drop(c);
     finish(call, std::move(r));
     pump(c->address);
+    feed_hungry();
 }
 
 void HttpClient::finish(const std::shared_ptr<Call>& call, HttpResponse r) {
@@ -431,7 +467,10 @@
     --total_;
     keep->fd.reset();
     keep->call = nullptr;
-    loop_.after(Duration(0), [this, address = keep->address] { pump(address); });
+    loop_.after(Duration(0), [this, address = keep->address] {
+        pump(address);
+        feed_hungry();
+    });
 }
 
 void HttpClient::sweep() {
--- a/src/loop/http.h
+++ b/src/loop/http.h
@@ -40,6 +40,7 @@
 
 struct ServerLimits {
     std::size_t connections = 256;
+    Duration evict_after = std::chrono::seconds(1);  // when full, one idle for so long makes room for a newcomer
     Duration idle = std::chrono::seconds(90);
     Duration request = std::chrono::seconds(5);  // from the first byte of a request to its last
     Duration write = std::chrono::seconds(10);   // for a peer that stops reading
@@ -54,6 +55,8 @@
   private:
     struct Connection;
     void accept_all();
+    bool make_room();
+    void resume();
     void sweep();
     void on_event(const std::shared_ptr<Connection>& c, std::uint32_t events);
     void read(const std::shared_ptr<Connection>& c);
@@ -74,6 +77,8 @@
     Duration idle = std::chrono::seconds(20);
 };
 
+// Calls of one kind (state service, cloud, workers): each kind has a client of its own, so that hundreds of silent
+// workers never keep a lease's renewal or a commit waiting.
 class HttpClient {
   public:
     HttpClient(Loop& loop, ClientLimits limits);
@@ -87,6 +92,8 @@
         std::vector<std::shared_ptr<Connection>> open;
     };
     void pump(const std::string& address);
+    bool make_room();
+    void feed_hungry();
     void open(const std::string& address);
     void assign(const std::shared_ptr<Connection>& c, std::shared_ptr<Call> call);
     void on_event(const std::shared_ptr<Connection>& c, std::uint32_t events);
@@ -97,6 +104,7 @@
     ClientLimits limits_;
     std::size_t total_ = 0;
     std::unordered_map<std::string, Host> hosts_;
+    std::deque<std::string> hungry_;  // addresses whose calls wait for a connection of any
 };
 
 }  // namespace zd
--- a/src/loop/loop.cpp
+++ b/src/loop/loop.cpp
@@ -36,6 +36,7 @@
 }
 
 namespace {
+constexpr int backlog = 4096;  // the whole fleet reconnects at once; the system cuts it to what it allows
 sockaddr_in to_sockaddr(const SocketAddress& a) {
     sockaddr_in s{};
     s.sin_family = AF_INET;
@@ -52,7 +53,7 @@
     int one = 1;
     sockaddr_in s = to_sockaddr(a);
     if (!fd.valid() || ::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &one, sizeof one) != 0 ||
-        ::bind(fd.get(), reinterpret_cast<sockaddr*>(&s), sizeof s) != 0 || ::listen(fd.get(), 256) != 0)
+        ::bind(fd.get(), reinterpret_cast<sockaddr*>(&s), sizeof s) != 0 || ::listen(fd.get(), backlog) != 0)
         throw std::runtime_error("cannot listen on " + address);
     return fd;
 }
--- a/src/loop/peers.cpp
+++ b/src/loop/peers.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <utility>
 
 #include "base/log.h"
 
@@ -29,7 +30,14 @@
     if (it == out_.end()) return;
     Out& o = it->second;
     // Bounded: what a peer doesn't read is dropped, and every sender copes with lost messages.
-    if (o.buffer.size() + frame.size() > most_unsent) return;
+    const bool oversized = frame.size() > wire::max_peer_frame + wire::peer_header;
+    if (oversized || o.buffer.size() + frame.size() > most_unsent) {
+        if (!std::exchange(o.dropping, true))
+            log::warn("event=peer_messages_dropped to={} reason={} bytes={}", to.v, oversized ? "oversized" : "unread",
+                      o.buffer.size() + frame.size());
+        return;
+    }
+    o.dropping = false;
     Mono now = loop_.now();
     if (o.fd.valid() && now - o.since > (o.connected ? stuck_limit : dial_limit) &&
         (!o.connected || !o.buffer.empty()))
--- a/src/loop/peers.h
+++ b/src/loop/peers.h
@@ -22,7 +22,7 @@
     struct Out {
         std::string address, buffer;
         Fd fd;
-        bool connected = false;
+        bool connected = false, dropping = false;
         Mono since{};
     };
     struct In {
--- a/src/sched/logic.cpp
+++ b/src/sched/logic.cpp
@@ -1,6 +1,8 @@
 #include "sched/logic.h"
 
 #include <algorithm>
+#include <queue>
+#include <utility>
 
 namespace zd::sched {
 
@@ -63,23 +65,23 @@
         largest.gpu = std::max(largest.gpu, c.total.gpu);
         largest.ram = std::max(largest.ram, c.total.ram);
     }
+    // Only the chosen candidate's score changes, so the others keep their places.
+    std::priority_queue<std::pair<std::int64_t, std::size_t>> best;
+    const std::size_t n = candidates.size();
+    auto enter = [&](std::size_t i) {
+        if (candidates[i].free.fits(need)) best.emplace(score(candidates[i], need, largest), n - i);
+    };
+    for (std::size_t i = 0; i < n; ++i) enter(i);
     std::vector<wire::Offer> offers;
-    while (offers.size() < tasks) {
-        Candidate* best = nullptr;
-        std::int64_t top = 0;
-        for (auto& c : candidates) {
-            if (!c.free.fits(need)) continue;
-            std::int64_t s = score(c, need, largest);
-            if (best == nullptr || s > top) {
-                best = &c;
-                top = s;
-            }
-        }
-        if (best == nullptr) break;
-        best->free -= need;
+    while (offers.size() < tasks && !best.empty()) {
+        const auto [top, rest] = best.top();
+        best.pop();
+        Candidate& c = candidates[n - rest];
+        c.free -= need;
         // A machine fetches an image once for all its tasks: the next of this job finds it there.
-        best->has_image = true;
-        offers.push_back({best->id, best->zone, top});
+        c.has_image = true;
+        offers.push_back({c.id, c.zone, top});
+        enter(n - rest);
     }
     return offers;
 }
--- a/src/store/model.cpp
+++ b/src/store/model.cpp
@@ -39,6 +39,7 @@
     types_.clear();
     orphans_.clear();
     seen = {};
+    if (on_jobs) on_jobs();
 }
 
 Revision Model::version(const std::string& key) const {
@@ -236,6 +237,7 @@
             if (present_[keys::page(id, n)]) orphans_.insert(keys::page(id, n));
         }
         jobs_.erase(it);
+        if (on_jobs) on_jobs();
         if (on_job) on_job(id);
         return;
     }
@@ -244,6 +246,7 @@
         log::error("event=bad_record job={}", id.v);
         return;
     }
+    if (!jobs_.contains(id) && on_jobs) on_jobs();
     Job& j = jobs_[id];
     decoded->pages = std::move(j.pages);
     decoded->placed = j.placed;
@@ -280,17 +283,23 @@
     j.placed -= p.placed;
     j.done -= p.done;
     for (std::size_t i = 0; i < std::max(p.tasks.size(), tasks.size()); ++i) {
-        TaskRef ref{j.spec.id, static_cast<TaskIndex>(i) + n * page_size_};
         const bool was = i < p.tasks.size() && p.tasks[i].at == TaskState::At::placed;
         const bool is = i < tasks.size() && tasks[i].at == TaskState::At::placed;
-        if (was && (!is || p.tasks[i].machine != tasks[i].machine)) {
+        if (!was && !is) continue;
+        if (was && is && p.tasks[i].machine == tasks[i].machine) continue;
+        const TaskRef ref{j.spec.id, static_cast<TaskIndex>(i) + n * page_size_};
+        if (was) {
             auto m = by_machine_.find(p.tasks[i].machine);
             if (m != by_machine_.end()) {
                 m->second.erase(ref);
                 if (m->second.empty()) by_machine_.erase(m);
             }
+            if (on_placed) on_placed(p.tasks[i].machine);
+        }
+        if (is) {
+            by_machine_[tasks[i].machine].insert(ref);
+            if (on_placed) on_placed(tasks[i].machine);
         }
-        if (is) by_machine_[tasks[i].machine].insert(ref);
     }
     p.tasks = std::move(tasks);
     p.version = version;
--- a/src/store/model.h
+++ b/src/store/model.h
@@ -102,6 +102,8 @@
     const std::set<std::string>& orphans() const { return orphans_; }
 
     std::function<void(const JobId&)> on_job;  // a job or one of its pages changed
+    std::function<void(const MachineId&)> on_placed;  // what is placed on a machine changed
+    std::function<void()> on_jobs;   // a job came or went
     std::function<void()> on_cluster;          // nodes, parts or supplier changed
     bool work_waits() const;
     Revision seen;                             // everything up to this revision has been read
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -160,7 +160,7 @@
 }
 
 void StoreClient::list(const std::string& prefix, const std::string& after, std::function<void(ListResult)> done) {
-    std::string path = "/store?prefix=" + prefix + "&most=200";
+    std::string path = "/store?prefix=" + prefix + "&most=1000";
     if (!after.empty()) path += "&after=" + after;
     submit(Urgency::lease, {{"GET", path, ""}, 0, seconds(4), {}, [done = std::move(done)](HttpResponse h) {
                                 ListResult r;
--- a/src/supply/plan.cpp
+++ b/src/supply/plan.cpp
@@ -1,42 +1,87 @@
 #include "supply/plan.h"
 
 #include <algorithm>
+#include <deque>
 #include <limits>
+#include <queue>
+#include <tuple>
+#include <utility>
 
 #include "sched/logic.h"
 
 namespace zd::supply {
 namespace {
-constexpr std::size_t most_considered = 3000;  // tasks: a plan must not stall the loop
+constexpr std::size_t most_considered = 50'000;  // tasks: a plan must not stall the loop
 
 double fetch_time(const wire::JobSpec& s, const wire::MachineType& t) { return s.image_gb / t.fetch_gb_per_s; }
 
-// Puts one task into the slot that is free first, if that is early enough.
-bool place(std::vector<Bin>& bins, const Demand& d, const std::vector<wire::MachineType>& types) {
-    Bin* best = nullptr;
-    std::size_t slot = 0;
-    double when = std::numeric_limits<double>::max();
-    for (auto& b : bins) {
-        if (!sched::machine_allowed(*d.spec, d.pin, b.type, b.zone, b.spot)) continue;
-        if (b.reserved && !sched::may_use(*d.spec, *b.reserved)) continue;
-        auto kind = std::find_if(types.begin(), types.end(), [&](const auto& t) { return t.name == b.type; });
-        if (kind == types.end() || !sched::worth_using(*d.spec, *kind, types)) continue;
-        for (std::size_t i = 0; i < b.slots.size(); ++i)
-            if (b.slots[i].free_at < when && b.slots[i].room.fits(d.spec->need)) {
-                best = &b;
-                slot = i;
-                when = b.slots[i].free_at;
+// The slots that one demand may use, the soonest first. Looked up once for all of its tasks: a search through all
+// machines for each task took a third of a controller's share at nine hundred of them.
+class Openings {
+  public:
+    Openings(std::vector<Bin>& bins, const Demand& d, const std::vector<wire::MachineType>& types)
+        : bins_(bins), demand_(d), types_(types) {
+        for (std::size_t b = 0; b < bins.size(); ++b) add_bin(b);
+    }
+    void add_bin(std::size_t b) {
+        const Bin& bin = bins_[b];
+        const wire::MachineType* type = usable_type(bin);
+        if (type == nullptr) return;
+        if (bin.reserved && !sched::may_use(*demand_.spec, *bin.reserved)) return;
+        for (std::size_t i = 0; i < bin.slots.size(); ++i) add(bin.slots[i], b, i, type);
+    }
+    // Puts one task into the slot that is free first, if that is early enough.
+    bool place(double patience_s) {
+        while (!heap_.empty()) {
+            const Entry e = heap_.top();
+            Slot& slot = bins_[e.bin].slots[e.slot];
+            if (!slot.room.fits(demand_.spec->need)) {
+                heap_.pop();
+                continue;
             }
+            if (e.free_at > patience_s) return false;
+            Bin& bin = bins_[e.bin];
+            const bool first = !std::exchange(bin.used, true);
+            slot.room -= demand_.spec->need;
+            bin.slots.push_back({e.free_at + demand_.run_s + (first ? fetch_time(*demand_.spec, *e.type) : 0), demand_.spec->need});
+            add(bin.slots.back(), e.bin, bin.slots.size() - 1, e.type);
+            return true;
+        }
+        return false;
     }
-    if (best == nullptr || when > d.patience_s) return false;
-    auto type = std::find_if(types.begin(), types.end(), [&](const auto& t) { return t.name == best->type; });
-    const bool first = !best->used;
-    best->used = true;
-    Slot after{when + d.run_s + (first && type != types.end() ? fetch_time(*d.spec, *type) : 0), d.spec->need};
-    best->slots[slot].room -= d.spec->need;
-    best->slots.push_back(after);
-    return true;
-}
+
+  private:
+    struct Entry {
+        double free_at = 0;
+        std::size_t bin = 0, slot = 0;
+        const wire::MachineType* type = nullptr;
+        bool operator<(const Entry& o) const {  // the top of the heap is the soonest, then the first listed
+            return std::tie(o.free_at, o.bin, o.slot) < std::tie(free_at, bin, slot);
+        }
+    };
+    void add(const Slot& s, std::size_t bin, std::size_t slot, const wire::MachineType* type) {
+        if (s.room.fits(demand_.spec->need)) heap_.push({s.free_at, bin, slot, type});
+    }
+    // Machines come in few kinds: each is judged once.
+    const wire::MachineType* usable_type(const Bin& b) {
+        for (const auto& [like, type] : kinds_)
+            if (like->type == b.type && like->zone == b.zone && like->spot == b.spot) return type;
+        const wire::MachineType* found = nullptr;
+        auto t = std::find_if(types_.begin(), types_.end(), [&](const auto& o) { return o.name == b.type; });
+        if (t != types_.end() && sched::machine_allowed(*demand_.spec, demand_.pin, b.type, b.zone, b.spot) &&
+            sched::worth_using(*demand_.spec, *t, types_))
+            found = &*t;
+        seen_.push_back({b.type, b.zone, b.spot});
+        kinds_.emplace_back(&seen_.back(), found);
+        return found;
+    }
+    std::vector<Bin>& bins_;
+    const Demand& demand_;
+    const std::vector<wire::MachineType>& types_;
+    std::deque<Kind> seen_;
+    std::vector<std::pair<const Kind*, const wire::MachineType*>> kinds_;
+    std::priority_queue<Entry> heap_;
+};
 }  // namespace
 
 double patience(const Settings& s, const wire::JobSpec& spec) {
@@ -59,9 +104,11 @@
             if (sched::type_allowed(*d.spec, t)) soonest = std::min(soonest, t.boot_s);
         if (soonest < std::numeric_limits<double>::max()) d.patience_s = std::max(d.patience_s, soonest + 0.1);
         TaskIndex left = d.tasks;
+        if (left == 0 || considered >= most_considered) continue;
+        Openings openings(in.bins, d, *in.types);
         while (left > 0 && considered < most_considered) {
             ++considered;
-            if (place(in.bins, d, *in.types)) {
+            if (openings.place(d.patience_s)) {
                 --left;
                 continue;
             }
@@ -96,11 +143,8 @@
             ++rented;
             in.bins.push_back({MachineId(), best->type, best->zone, best->spot, {{best_type->boot_s, best_type->room}}, true, {}});
             // Nothing is there sooner than a boot takes: what is rented for this task serves it however patient it is.
-            Demand now = d;
-            now.patience_s = std::max(d.patience_s, best_type->boot_s + 0.1);
-            std::vector<Bin> fresh{in.bins.back()};
-            if (!place(fresh, now, *in.types)) break;
-            in.bins.back() = fresh.front();
+            openings.add_bin(in.bins.size() - 1);
+            if (!openings.place(std::max(d.patience_s, best_type->boot_s + 0.1))) break;
             --left;
         }
     }
--- a/src/supply/supply.cpp
+++ b/src/supply/supply.cpp
@@ -10,6 +10,8 @@
 namespace {
 constexpr Duration tick_every = std::chrono::milliseconds(500);
 constexpr std::size_t most_returned = 100;  // machines in one call, by the protocol
+constexpr std::uint32_t most_rented = 50;   // likewise
+constexpr std::size_t most_told = 1000;     // machines in one message to a peer
 constexpr double gang_patience_s = 15;  // before machines are kept for a gang
 constexpr Duration fresh_beat = std::chrono::seconds(3);
 }  // namespace
@@ -146,8 +148,13 @@
             continue;
         s.machines.push_back({id, r.address});
     }
-    if (s.machines.empty()) return;
-    for (const auto& n : settings_.all_nodes()) send_(n, s);
+    while (!s.machines.empty()) {
+        wire::Sighted part;
+        const std::size_t n = std::min(most_told, s.machines.size());
+        part.machines.assign(s.machines.end() - static_cast<std::ptrdiff_t>(n), s.machines.end());
+        s.machines.resize(s.machines.size() - n);
+        for (const auto& to : settings_.all_nodes()) send_(to, part);
+    }
 }
 
 void Supply::plan() {
@@ -155,6 +162,8 @@
     supply::PlanInput in;
     in.types = &model_.types();
     if (model_.types().empty()) return;
+    // So many requests at a time as leave the cloud's rate to lists and returns as well.
+    in.most_new = most_rented * static_cast<std::size_t>(std::max(1.0, std::ceil(settings_.cloud_rps / 4)));
     std::vector<MachineId> silent, slow, failed;
     const WallMs wall = env_.wall();
     auto give_up = [&](const wire::MachineBeat& b) {
@@ -262,7 +271,9 @@
                            active_since_ - Mono{} < seconds(1);
     if (caught_up)
         for (const auto& [kind, n] : p.rent)
-            if (!renting_.contains(kind)) rent(kind, std::min<std::uint32_t>(n, 50));
+            if (!renting_.contains(kind))
+                for (std::uint32_t left = n; left > 0; left -= std::min(left, most_rented))
+                    rent(kind, std::min(left, most_rented));
     for (auto& [id, r] : rented_) {
         auto k = known_.find(id);
         if (r.returning || k == known_.end() || now - k->second.at > fresh_beat || p.wanted.contains(id)) continue;
@@ -382,7 +393,8 @@
         if (type == nullptr || within > type->boot_s * 1.5 || a.times.empty()) continue;
         const double boot = type->boot_s + a.spec.image_gb / type->fetch_gb_per_s;
         const double expected = std::ceil(a.machines_per_s(wall) * boot * policy_.reserve);
-        const auto ready = static_cast<std::size_t>(std::clamp(expected, policy_.reserve > 0 ? 1.0 : 0.0, 50.0));
+        const auto ready = static_cast<std::size_t>(std::clamp(expected, policy_.reserve > 0 ? 1.0 : 0.0,
+                                                               std::max(50.0, static_cast<double>(in.bins.size()) / 4)));
         std::size_t waiting = 0;
         for (const auto& d : in.demands)
             if (d.spec->job_class == name) waiting += d.tasks;
@@ -422,10 +434,27 @@
     }
     for (auto& d : standing) in.demands.push_back(std::move(d));
     reserved_ = chosen;
-    wire::Reserve m;
-    for (const auto& [id, r] : chosen)
-        m.machines.push_back({id, r.job_class, r.rank, static_cast<std::uint32_t>(r.save_s * 1000), r.job});
-    for (const auto& n : settings_.all_nodes()) send_(n, m);
+    tell_reserved();
+}
+
+// Each owner hears of its own machines.
+void Supply::tell_reserved() {
+    std::map<NodeName, std::vector<wire::ReservedMachine>> by_owner;
+    for (const auto& n : settings_.all_nodes()) by_owner[n];
+    for (const auto& [id, r] : reserved_) {
+        auto owner = by_owner.find(model_.parts()[model_.part_of(id)].owner);
+        if (owner == by_owner.end()) continue;
+        owner->second.push_back({id, r.job_class, r.rank, static_cast<std::uint32_t>(r.save_s * 1000), r.job});
+    }
+    for (auto& [n, machines] : by_owner) {
+        wire::Reserve m;
+        for (auto& e : machines) {
+            m.machines.push_back(std::move(e));
+            if (m.machines.size() < most_told) continue;
+            send_(n, std::exchange(m, wire::Reserve{false, {}}));
+        }
+        if (m.first || !m.machines.empty()) send_(n, std::move(m));
+    }
 }
 
 // Among the first `n` of the machines kept for a class, clears as many as its waiting tasks lack; returns how many
--- a/src/supply/supply.h
+++ b/src/supply/supply.h
@@ -68,6 +68,7 @@
     void give_back(std::vector<MachineId> machines, const char* why);
     void clean_strays();
     void tell_sighted();
+    void tell_reserved();
     Env& env_;
     const Settings& settings_;
     const Policy policy_;
--- a/src/wire/peer.cpp
+++ b/src/wire/peer.cpp
@@ -139,7 +139,8 @@
     else if constexpr (std::is_same_v<T, Settled>) { a(m.ops); a(m.records); }
     else if constexpr (std::is_same_v<T, Freed>) { a(m.type); a(m.room); }
     else if constexpr (std::is_same_v<T, SightedMachine>) { a(m.id); a(m.address); }
-    else if constexpr (std::is_same_v<T, Reserve> || std::is_same_v<T, Sighted>) { a(m.machines); }
+    else if constexpr (std::is_same_v<T, Reserve>) { a(m.first); a(m.machines); }
+    else if constexpr (std::is_same_v<T, Sighted>) { a(m.machines); }
     else { static_assert(std::is_same_v<T, Gone>); a(m.machines); }
 }
 
--- a/src/wire/peer.h
+++ b/src/wire/peer.h
@@ -10,7 +10,7 @@
 
 namespace zd::wire {
 
-constexpr std::uint8_t peer_version = 2;
+constexpr std::uint8_t peer_version = 3;
 constexpr std::size_t max_peer_frame = 256 * 1024;
 constexpr std::size_t peer_header = 4;  // length of what follows, as u32
 
@@ -93,7 +93,7 @@
 struct Gone {
     std::vector<MachineId> machines;
 };
-// Supplier to all: machines kept for a class of jobs that cannot wait for a boot.
+// Supplier to their owners: machines kept for a class of jobs that cannot wait for a boot.
 // Others may use them on sufferance: tasks of lower rank that save within `save_ms` when they are stopped.
 struct ReservedMachine {
     MachineId machine;
@@ -103,6 +103,7 @@
     JobId job;  // not empty: kept for this one alone
 };
 struct Reserve {
+    bool first = true;  // of several messages: what was reserved before is over
     std::vector<ReservedMachine> machines;
 };
 // Supplier to owner: stop this task, with time to save, for work of higher rank.
--- a/tests/checker.h
+++ b/tests/checker.h
@@ -48,19 +48,24 @@
         bool place = (!f.types_given || f.types.contains(m.type)) && (f.zone.empty() || f.zone == m.zone) &&
                      (f.spot || !m.spot);
         int there = 1;
-        for (const auto& [key, where] : on_) {
-            if (key.first != job || key.second == task) continue;
-            for (const auto& w : where) {
+        for (auto it = on_.lower_bound({job, 0}); (f.one_zone || f.spread) && it != on_.end() && it->first.first == job; ++it) {
+            if (it->first.second == task) continue;
+            for (const auto& w : it->second) {
                 if (machines_[w].zone == m.zone) ++there;
                 else if (f.one_zone) place = false;
             }
         }
         if (f.spread && there > (f.tasks + 1) / 2) place = false;
         if (!place) fail("wrong_place", job, task, machine);
-        on.insert(machine);
+        if (on.insert(machine).second) count(f, 1);
         check_quota(f.team);
     }
-    void task_off(const std::string& job, int task, const std::string& machine) { on_[{job, task}].erase(machine); }
+    void task_off(const std::string& job, int task, const std::string& machine) {
+        auto it = on_.find({job, task});
+        if (it == on_.end() || it->second.erase(machine) == 0) return;
+        count(jobs_[job].facts, -1);
+        if (it->second.empty()) on_.erase(it);
+    }
     void task_done(const std::string& job, int task) { jobs_[job].done.insert(task); }
 
     // At any time: what a cancellation should have ended by now.
@@ -139,20 +144,20 @@
     void check_quota(const std::string& team) {
         auto limit = limits.find(team);
         if (limit == limits.end()) return;
-        double cpu = 0, gpu = 0;
-        for (const auto& [key, where] : on_) {
-            const JobFacts& f = jobs_[key.first].facts;
-            if (f.team != team) continue;
-            cpu += f.cpu * static_cast<double>(where.size());
-            gpu += f.gpu * static_cast<double>(where.size());
-        }
+        const auto [cpu, gpu] = used_[team];
         if ((limit->second.cpu > 0 && cpu > limit->second.cpu + 1e-6) ||
             (limit->second.gpu > 0 && gpu > limit->second.gpu + 1e-6))
             fail("quota", team, -1, "");
     }
+    void count(const JobFacts& f, int n) {
+        auto& [cpu, gpu] = used_[f.team];
+        cpu += f.cpu * n;
+        gpu += f.gpu * n;
+    }
     void fail(const std::string& rule, const std::string& job, int task, const std::string& more) {
         if (broken.size() < 50) broken.push_back(rule + ": " + job + "/" + std::to_string(task) + " " + more);
     }
+    std::map<std::string, std::pair<double, double>> used_;  // CPUs and GPUs, by team
     std::map<std::string, MachineFacts> machines_;
     std::map<std::string, Job> jobs_;
     std::map<std::pair<std::string, int>, std::set<std::string>> on_;
--- /dev/null
+++ b/tests/fleet_test.cpp
@@ -0,0 +1,161 @@
+// Stories of the whole fleet: many times as many machines, and what befalls hundreds of them at once.
+#include <gtest/gtest.h>
+
+#include "world.h"
+
+namespace zdtest {
+namespace {
+
+// Under sanitizers a smaller twin is played, of a quarter of the machines.
+#if defined(__SANITIZE_ADDRESS__)
+constexpr int shrink = 4;
+#else
+constexpr int shrink = 1;
+#endif
+
+std::string id_of(int n) {
+    char b[32];
+    std::snprintf(b, sizeof b, "job-%06d", n);
+    return b;
+}
+
+// Budgets, leases and limits as a fleet of that size has them.
+World::Options fleet_options(int nodes, int machines, std::uint64_t seed = 1) {
+    World::Options o;
+    o.seed = seed;
+    o.nodes = nodes;
+    o.capacity = machines + machines / 10;
+    o.value_kb = 8;
+    o.report_s = 5;
+    o.lease_s = 26.5;
+    o.cancel_s = 46.5;
+    o.state_rps = 600;
+    o.write_rps = 70;
+    o.cloud_rps = 7;
+    o.memory_mb = 188;
+    o.max_sockets = 3000;
+    o.worker_step = 0.25;
+    o.budgets = true;
+    o.boot_s = 20;
+    return o;
+}
+
+struct FleetStory {
+    World w;
+    int machines;
+    std::vector<std::string> ids;
+    int next = 1;
+    explicit FleetStory(const World::Options& o, int count) : w(o), machines(count) {
+        for (int i = 0; i < machines; ++i) w.add_machine("small", "a", false, 1 + 4 * w.chance());
+    }
+    // Jobs of 40 tasks that take a machine each.
+    void submit(int tasks, double run_s) {
+        for (int left = tasks; left > 0; left -= 40) {
+            ids.push_back(id_of(next++));
+            Json j = w.job(ids.back(), std::min(left, 40), 4, run_s);
+            j["loaners"] = false;
+            j["cask"] = "img-" + std::to_string(next % 7);
+            w.submit(j);
+        }
+    }
+    int running() {
+        int n = 0;
+        for (const auto& id : ids) n += w.on_machines(id);
+        return n;
+    }
+    std::vector<std::string> some(int n) {
+        std::vector<std::string> all, out;
+        for (auto& [id, m] : w.workers())
+            if (m.alive) all.push_back(id);
+        std::sample(all.begin(), all.end(), std::back_inserter(out), n, w.rng);
+        return out;
+    }
+    // Every job's user asks as users do, until all are told the end.
+    bool all_done(double most) {
+        const double end = w.now() + most;
+        for (;;) {
+            bool all = true;
+            for (const auto& id : ids)
+                if (!w.done(id)) {
+                    all = false;
+                    if (w.accepted(id)) w.poll(id);
+                }
+            if (all) return true;
+            if (w.now() > end) return false;
+            w.run(5);
+        }
+    }
+    void expect_bounds() {
+        for (int n = 0; n < w.nodes(); ++n) {
+            if (!w.up(n)) continue;
+            const Json status = Json::parse(w.ask(n, "GET", "/internal/status").body);
+            EXPECT_LT(status["ledger_queue"].get<int>(), 2 * machines);
+        }
+        EXPECT_LE(w.most_calls, 256U);
+    }
+    void expect_rules() {
+        w.checker.finish();
+        w.checker.judge_service();
+        for (const auto& b : w.checker.broken) ADD_FAILURE() << b;
+        EXPECT_EQ(w.store.oversize, "");
+    }
+};
+
+// All controllers crash and are back within a fraction of a second, and every worker comes to the same one of them.
+void all_back_at_once(int nodes, int machines) {
+    FleetStory s(fleet_options(nodes, machines), machines);
+    World& w = s.w;
+    w.run(8);
+    s.submit(machines * 9 / 10, 90);
+    ASSERT_TRUE(w.run_until([&] { return s.running() >= machines * 9 / 10; }, 45)) << s.running();
+    const int starts = w.checker.starts;
+    for (int n = 0; n < nodes; ++n) w.crash(n);
+    w.run(0.3);
+    for (int n = 0; n < nodes; ++n) w.start_node(n);
+    for (auto& [id, m] : w.workers()) {
+        m.node = 0;
+        m.next_report = w.now();
+    }
+    // Work for the machines that are free: it begins, and a poll and a submission are answered, within seconds.
+    s.submit(machines / 20, 10);
+    const int before = w.on_machines(s.ids.back());
+    EXPECT_EQ(before, 0);
+    EXPECT_TRUE(w.run_until([&] { return w.on_machines(s.ids.back()) > 0; }, 15));
+    EXPECT_EQ(w.ask(nodes - 1, "GET", "/api/jobs/" + s.ids.front()).status, 200);
+    EXPECT_LT(w.checker.starts - starts, machines / 20 + 40);  // nothing that ran was started again
+    s.expect_bounds();
+    EXPECT_TRUE(s.all_done(240));
+    EXPECT_EQ(w.checker.starts, starts + machines / 20);
+    s.expect_rules();
+}
+
+TEST(Fleet, SevenControllersBackAtOnce) { all_back_at_once(7, 2000 / shrink); }
+TEST(Fleet, ThreeControllersBackAtOnce) { all_back_at_once(3, 1400 / shrink); }
+
+// Four times as many short tasks as the machines can do: what waits must not cost more than what runs. Counted, not
+// timed: how often a machine's room is worked out for the asks.
+TEST(Fleet, BurstOfShortTasks) {
+    const int machines = 400 / shrink;
+    FleetStory s(fleet_options(7, machines), machines);
+    World& w = s.w;
+    w.run(8);
+    for (int i = 0; i < 30; ++i) {
+        s.submit(machines / 4, 15);
+        w.run(1);
+    }
+    s.expect_bounds();
+    EXPECT_TRUE(s.all_done(400));
+    std::uint64_t asks = 0, looks = 0;
+    for (int n = 0; n < 7; ++n) {
+        const Json status = Json::parse(w.ask(n, "GET", "/internal/status").body);
+        asks += status["workers"]["asks"].get<std::uint64_t>();
+        looks += status["workers"]["rooms"].get<std::uint64_t>();
+    }
+    // Without the memory of it: once for each of an owner's machines in each ask.
+    EXPECT_GT(asks, 500U);
+    EXPECT_LT(looks, asks * static_cast<std::uint64_t>(machines) / 7 / 4);
+    s.expect_rules();
+}
+
+}  // namespace
+}  // namespace zdtest
--- a/tests/units_test.cpp
+++ b/tests/units_test.cpp
@@ -101,7 +101,7 @@
     wire::Offers offers{{NodeName("n"), 1}, JobId("job-2"), NodeName("m"), 3, true, {0, 1}, {{MachineId("host-2"), "z", -5}}};
     wire::Settle settle{JobId("job-3"), {{0, 7, 2, MachineId("host-3"), "z", 41, 9}, {2, 8, 1, MachineId("host-4"), "", 41, 10}}};
     wire::Settled settled{{{9, true}, {10, false}}, {{"z/t/job-3/0", R"({"p":[[7,2,"host-3"]]})", 42}, {"z/j/job-3", "", 42}}};
-    wire::Reserve reserve{{{MachineId("host-5"), "c", wire::Rank::high, 5000, JobId("job-4")}}};
+    wire::Reserve reserve{true, {{MachineId("host-5"), "c", wire::Rank::high, 5000, JobId("job-4")}}};
     int refused = 0;
     for (const wire::PeerMessage& m : {wire::PeerMessage(beat), wire::PeerMessage(offers), wire::PeerMessage(settle),
                                        wire::PeerMessage(settled), wire::PeerMessage(reserve)}) {
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -1,5 +1,7 @@
 #include "world.h"
 
+#include <gtest/gtest.h>
+
 #include <algorithm>
 
 namespace zdtest {
@@ -21,22 +23,29 @@
     void cancel(TimerId id) override { live_.erase(id); }
     void http(const std::string& address, HttpRequest req, Duration timeout, Reply done) override {
         auto answered = std::make_shared<bool>(false);
-        auto once = [answered, done = std::move(done)](HttpResponse r) {
+        const bool to_worker = address.rfind("10.2.", 0) != 0;
+        if (to_worker) w_.most_calls = std::max(w_.most_calls, ++calls_);
+        auto once = [this, to_worker, answered, done = std::move(done)](HttpResponse r) {
             if (std::exchange(*answered, true)) return;
+            if (to_worker) --calls_;
             done(std::move(r));
         };
         w_.at(zd::to_s(timeout), guarded([once] { once({}); }));
         w_.http(name_, address, req, [&w = w_, host = host_, once, life = life_](HttpResponse r) {
-            if (w.hosts_[host].life == life && w.hosts_[host].node) once(std::move(r));
+            w.deliver(host, life, 0, [once, r = std::move(r)] { once(r); });
         });
     }
     void send_peer(const zd::NodeName& to, std::string frame) override {
+        EXPECT_LE(frame.size(), zd::wire::max_peer_frame);
         w_.send(name_, to.v, [&w = w_, from = zd::NodeName(name_), to, frame = std::move(frame)] {
-            for (auto& h : w.hosts_)
-                if (h.settings.node == to && h.node) {
+            for (std::size_t i = 0; i < w.hosts_.size(); ++i) {
+                auto& h = w.hosts_[i];
+                if (h.settings.node != to || !h.node) continue;
+                w.deliver(i, h.life, 0, [&h, from, frame] {
                     auto m = zd::wire::decode(std::string_view(frame).substr(zd::wire::peer_header));
                     if (m) h.node->on_peer(from, *m);
-                }
+                });
+            }
         });
     }
     std::mt19937_64& rng() override { return rng_; }
@@ -44,9 +53,7 @@
   private:
     // What a process left behind dies with it.
     std::function<void()> guarded(std::function<void()> fn) {
-        return [&w = w_, host = host_, life = life_, fn = std::move(fn)] {
-            if (w.hosts_[host].life == life && w.hosts_[host].node) fn();
-        };
+        return [&w = w_, host = host_, life = life_, fn = std::move(fn)] { w.deliver(host, life, 0.001, fn); };
     }
     World& w_;
     std::size_t host_;
@@ -55,6 +62,7 @@
     std::mt19937_64 rng_;
     TimerId next_ = 0;
     std::set<TimerId> live_;
+    std::size_t calls_ = 0;  // to workers, under way
 };
 
 // ---- state service ----
@@ -68,13 +76,31 @@
     if (v) data[key] = {*v, revision};
     else data.erase(key);
     log_.push_back({key, std::move(v), revision});
+    if (log_.size() > 10'000) log_.pop_front();
+}
+
+bool FakeStore::spend(double& tokens, double& last, double rate, double n) {
+    if (rate <= 0) return true;
+    tokens = last < 0 ? rate : std::min(rate, tokens + rate * (w_.now() - last));
+    last = w_.now();
+    if (tokens < n) {
+        ++over_rate;
+        return false;
+    }
+    tokens -= n;
+    return true;
 }
 
 bool FakeStore::answer(Waiter& waiter, bool late) {
     if (outage || refused.contains(waiter.from)) return false;
     Json news = Json::array();
-    for (const auto& e : log_)
-        if (e.version > waiter.after && e.key.rfind(waiter.prefix, 0) == 0) {
+    if (log_.size() == 10'000 && log_.front().version > waiter.after + 1) {
+        waiter.reply({410, "{}", -1});
+        return true;
+    }
+    auto first = std::upper_bound(log_.begin(), log_.end(), waiter.after, [](std::uint64_t v, const Event& e) { return v < e.version; });
+    for (; first != log_.end(); ++first)
+        if (const Event& e = *first; e.key.rfind(waiter.prefix, 0) == 0) {
             if (e.value) news.push_back({{"set", e.key}, {"value", *e.value}, {"stamp", e.version}});
             else news.push_back({{"delete", e.key}, {"stamp", e.version}});
         }
@@ -103,6 +129,7 @@
 
 void FakeStore::handle(const std::string& from, const HttpRequest& req, Reply reply) {
     if (outage || refused.contains(from)) return reply({503, "{}", -1});
+    if (!spend(request_tokens_, requests_last_, rps, 1)) return reply({429, "{}", -1});
     auto param = [&](const std::string& name) -> std::string {
         auto at = req.path.find(name + "=");
         if (at == std::string::npos) return "";
@@ -147,6 +174,8 @@
     }
     if (req.path != "/commit") return reply({400, "{}", -1});
     Json body = Json::parse(req.body);
+    if (!spend(write_tokens_, writes_last_, write_rps, static_cast<double>(body["writes"].size())))
+        return reply({429, "{}", -1});
     ++commits;
     if (req.body.size() > 64 * 1024 || body["writes"].size() > most_ops || body["if"].size() > 4 * most_ops)
         oversize = "transaction";
@@ -182,6 +211,13 @@
 
 World::World(Options o) : rng(o.seed), options_(std::move(o)) {
     cloud_capacity = options_.capacity;
+    lease_s = options_.lease_s;
+    report_s = options_.report_s;
+    checker.cancel_s = options_.cancel_s;
+    if (options_.budgets) {
+        store.rps = options_.state_rps;
+        store.write_rps = options_.write_rps;
+    }
     store.most_value = static_cast<std::size_t>(options_.value_kb * 1024);
     std::string zones;
     for (const auto& z : options_.zones) zones += (zones.empty() ? "\"" : ", \"") + z + "\"";
@@ -194,10 +230,12 @@
                      ":8081\"\n";
         s += "[outside]\ncloud = \"10.2.0.2:8443\"\nstate = \"10.2.0.1:2379\"\n[params]\nsize = " +
              std::to_string(options_.nodes) + "\nzones = [" + zones + "]\nskew_ms = 100.0\n" + options_.teams +
-             "[params.workers]\nreport_s = 1.5\nlease_s = 10.0\ngang_wait_s = 30.0\ngang_peer_s = 4.0\ncancel_s = 30.0\n"
-             "[params.state]\nrps = 200.0\nwrite_rps = 40.0\nvalue_kb = " + std::to_string(options_.value_kb) +
-             "\ntxn_ops = 8\n[params.cloud]\nrps = 8.0\nlist_lag_s = 3.0\n"
-             "[params.machine_limits]\ncore_share = 0.1\nmemory_mb = 56.0\nmax_sockets = 900\n";
+             "[params.workers]\nreport_s = " + std::to_string(options_.report_s) + "\nlease_s = " + std::to_string(options_.lease_s) +
+             "\ngang_wait_s = 30.0\ngang_peer_s = 4.0\ncancel_s = " + std::to_string(options_.cancel_s) +
+             "\n[params.state]\nrps = " + std::to_string(options_.state_rps) + "\nwrite_rps = " + std::to_string(options_.write_rps) +
+             "\nvalue_kb = " + std::to_string(options_.value_kb) + "\ntxn_ops = 8\n[params.cloud]\nrps = " +
+             std::to_string(options_.cloud_rps) + "\nlist_lag_s = 3.0\n[params.machine_limits]\ncore_share = 0.1\nmemory_mb = " +
+             std::to_string(options_.memory_mb) + "\nmax_sockets = " + std::to_string(options_.max_sockets) + "\n";
         Host h;
         h.settings = zd::parse_settings(s);
         hosts_.push_back(std::move(h));
@@ -259,6 +297,22 @@
     h.node.reset();
 }
 
+void World::freeze(int i, double for_s) { hosts_[static_cast<std::size_t>(i)].frozen_until = now_ + for_s; }
+
+void World::deliver(std::size_t host, std::uint64_t life, double lag, std::function<void()> fn) {
+    Host& h = hosts_[host];
+    if (h.life != life || !h.node) return;
+    if (frozen(host)) {
+        at(h.frozen_until - now_ + lag, [this, host, life, lag, fn = std::move(fn)] { deliver(host, life, lag, fn); });
+        return;
+    }
+    fn();
+}
+
+void World::repeat_later(const HttpRequest& req, std::function<void()> fn) {
+    if (repeats > 0 && req.method == "POST" && chance() < repeats) at(repeat_s * chance(), std::move(fn));
+}
+
 void World::link(const std::string& a, const std::string& b, Link l) {
     auto key = std::minmax(a, b);
     links_[key] = l;
@@ -291,39 +345,51 @@
 
 void World::http(const std::string& from, const std::string& address, const HttpRequest& req, Reply reply) {
     if (address == "10.2.0.1:2379") {
+        repeat_later(req, [this, from, req] { store.handle(from, req, [](const HttpResponse&) {}); });
         send(from, "state", [this, from, req, reply] {
             store.handle(from, req, [this, from, reply](HttpResponse r) {
                 send("state", from, [reply, r = std::move(r)] { reply(r); });
             });
         });
     } else if (address == "10.2.0.2:8443") {
+        repeat_later(req, [this, req] { cloud(req, [](const HttpResponse&) {}); });
         send(from, "cloud", [this, from, req, reply] {
             cloud(req, [this, from, reply](HttpResponse r) {
                 at(0.1, [this, from, reply, r = std::move(r)] { send("cloud", from, [reply, r] { reply(r); }); });
             });
         });
     } else {
-        for (auto& [id, w] : workers_)
-            if (w.address == address) {
-                send(from, id, [this, id = id, from, req, reply] {
-                    if (!workers_.contains(id)) return;
-                    Worker& to = workers_.at(id);
-                    auto act = [this, id, from, req, reply] {
-                        if (!workers_.contains(id)) return;
-                        worker_http(workers_.at(id), req, [this, id, from, reply](HttpResponse r) {
-                            send(id, from, [reply, r = std::move(r)] { reply(r); });
-                        });
-                    };
-                    if (!to.alive) return;
-                    if (to.hung) to.while_hung.push_back(act);  // executed when it goes on
-                    else act();
+        auto found = by_address_.find(address);
+        if (found == by_address_.end()) return;
+        const std::string id = found->second;
+        repeat_later(req, [this, id, req] {
+            if (auto it = workers_.find(id); it != workers_.end() && it->second.alive)
+                worker_http(it->second, req, [](const HttpResponse&) {});
+        });
+        send(from, id, [this, id, from, req, reply] {
+            if (!workers_.contains(id)) return;
+            Worker& to = workers_.at(id);
+            auto act = [this, id, from, req, reply] {
+                if (!workers_.contains(id)) return;
+                worker_http(workers_.at(id), req, [this, id, from, reply](HttpResponse r) {
+                    send(id, from, [reply, r = std::move(r)] { reply(r); });
                 });
-                return;
-            }
+            };
+            if (!to.alive) return;
+            if (to.hung) to.while_hung.push_back(act);  // executed when it goes on
+            else act();
+        });
     }
 }
 
 void World::cloud(const HttpRequest& req, const Reply& reply) {
+    if (options_.budgets) {
+        const double rate = options_.cloud_rps;
+        cloud_tokens_ = cloud_last_ < 0 ? 2 * rate : std::min(2 * rate, cloud_tokens_ + rate * (now_ - cloud_last_));
+        cloud_last_ = now_;
+        if (cloud_tokens_ < 1) return reply({429, "{}", -1});
+        cloud_tokens_ -= 1;
+    }
     if (cloud_down) return reply({503, R"({"error":"trouble"})", -1});
     if (req.path == "/flavors") {
         Json zones = options_.zones;
@@ -338,11 +404,20 @@
     }
     if (req.method == "GET") {
         Json list = Json::array();
-        for (const auto& [id, w] : workers_)
+        const auto at_name = req.path.find("after=");
+        const std::string after = at_name == std::string::npos ? "" : req.path.substr(at_name + 6);
+        bool more = false;
+        for (auto it = workers_.upper_bound(after); it != workers_.end(); ++it) {
+            const auto& [id, w] = *it;
+            if (list.size() == 500) {
+                more = true;
+                break;
+            }
             if (born_[id] + 3 < now_)
                 list.push_back({{"uid", id}, {"address", w.address}, {"breed", w.type}, {"field", w.zone}, {"loaners", w.spot},
                                 {"phase", w.node == SIZE_MAX ? "booting" : "running"}, {"held_s", now_ - born_[id]}});
-        return reply({200, Json{{"werven", list}, {"has_next", false}}.dump(), -1});
+        }
+        return reply({200, Json{{"werven", list}, {"has_next", more}}.dump(), -1});
     }
     Json b = Json::parse(req.body);
     if (req.path == "/machines/return") {
@@ -351,6 +426,7 @@
             if (it == workers_.end()) continue;
             drop_tasks(it->second);
             ++returned;
+            by_address_.erase(it->second.address);
             workers_.erase(it);
         }
         return reply({200, "{}", -1});
@@ -358,7 +434,7 @@
     std::string hire = b["hire"].get<std::string>();
     if (!hire_answers_.contains(hire)) {
         int room = cloud_capacity - static_cast<int>(workers_.size());
-        int n = std::min(room, b["how_many"].get<int>());
+        int n = std::min({room, b["how_many"].get<int>(), 50});
         if (n <= 0) return reply({503, R"({"error":"no capacity"})", -1});
         for (int i = 0; i < n; ++i) {
             ++rented;
@@ -385,6 +461,7 @@
     w.faulty = faulty_boots;
     born_[id] = now_;
     checker.machine(id, {type, zone, spot});
+    by_address_[w.address] = id;
     auto& placed = workers_[id] = std::move(w);
     at(boot_s, [this, name = std::string(id)] {
         auto it = workers_.find(name);
@@ -458,7 +535,7 @@
         w.lease_from = now_;
     }
     if (!w.hung && w.flight == 0 && now_ >= w.next_report) report(w);
-    at(0.1, [this, id] { worker_tick(id); });
+    at(options_.worker_step, [this, id] { worker_tick(id); });
 }
 
 void World::report(Worker& w) {
@@ -488,7 +565,7 @@
     }
     send(id, node_name, [this, id, node_name, target, body, settle, sent, session] {
         if (!up(static_cast<int>(target))) return;
-        hosts_[target].node->on_request({"POST", "/checkin", body}, [this, id, node_name, target, settle, sent, session](HttpResponse r) {
+        deliver(target, hosts_[target].life, 0, [=, this] { hosts_[target].node->on_request({"POST", "/checkin", body}, [this, id, node_name, target, settle, sent, session](HttpResponse r) {
             send(node_name, id, [this, id, target, settle, sent, session, r] {
                 auto it = workers_.find(id);
                 if (it == workers_.end() || !it->second.alive || it->second.hung || it->second.flight == 0) return;
@@ -517,7 +594,7 @@
                 w2.lease_from = std::max(w2.lease_from, sent);
                 execute(w2, j["orders"]);
             });
-        });
+        }); });
     });
 }
 
@@ -619,9 +696,11 @@
     t->second.phase = "waiting";
     changed(w);
     std::vector<std::pair<std::string, std::string>> members;
-    for (auto& [wid, o] : workers_)
-        for (auto& [k, m] : o.tasks)
-            if (m.job == job && m.attempt == attempt && m.phase == "waiting") members.emplace_back(wid, k);
+    gang_at_[job].insert(id);
+    for (const auto& wid : gang_at_[job])
+        if (auto o = workers_.find(wid); o != workers_.end())
+            for (auto& [k, m] : o->second.tasks)
+                if (m.job == job && m.attempt == attempt && m.phase == "waiting") members.emplace_back(wid, k);
     if (static_cast<int>(members.size()) == body["shards"].get<int>()) {
         for (auto& [wid, k] : members) go(wid, k);
         return;
@@ -682,12 +761,15 @@
 
 void World::gang_lost(const std::string& job, std::uint32_t attempt) {
     at(gang_peer_s * 0.5, [this, job, attempt] {
-        for (auto& [id, w] : workers_)
-            for (auto& [key, t] : w.tasks)
+        for (const auto& id : gang_at_[job]) {
+            auto w = workers_.find(id);
+            if (w == workers_.end()) continue;
+            for (auto& [key, t] : w->second.tasks)
                 if (t.job == job && t.attempt == attempt && (t.phase == "running" || t.phase == "saving")) {
-                    end_task(w, key, "peers");
+                    end_task(w->second, key, "peers");
                     return gang_lost(job, attempt);
                 }
+        }
     });
 }
 
@@ -739,12 +821,21 @@
         if (!std::exchange(*answered, true) && repeat) again();
     });
     if (!up(target)) return;
-    send("users", name(target), [this, id, method, path, body, target, answered, again, submission, repeat] {
+    const auto host = static_cast<std::size_t>(target);
+    send("users", name(target), [this, id, method, path, body, target, host, answered, again, submission, repeat, sent = now_] {
         if (!up(target)) return;
-        hosts_[static_cast<std::size_t>(target)].node->on_request(
-            {method, path, body}, [this, id, target, answered, again, submission, repeat](HttpResponse r) {
-                send(name(target), "users", [this, id, answered, again, submission, repeat, r] {
+        auto take = [this, id, method, path, body, target, answered, again, submission, repeat, sent](HttpResponse r) {
+                send(name(target), "users", [this, id, method, path, body, answered, again, submission, repeat, r, sent] {
                     if (std::exchange(*answered, true)) return;
+                    slowest_answer = std::max(slowest_answer, now_ - sent);
+                    if (r.status < 300) repeat_later({method, path, body}, [this, id, method, path, body, submission] {
+                        const auto any = static_cast<std::size_t>(rng() % hosts_.size());
+                        if (!hosts_[any].node || frozen(any)) return;
+                        hosts_[any].node->on_request({method, path, body}, [this, id, submission](const HttpResponse& late) {
+                            Json j = Json::parse(late.body, nullptr, false);
+                            checker.told(now_, id, submission, late.status, j.is_object() ? j.value("phase", "") : "");
+                        });
+                    });
                     Json j = Json::parse(r.body, nullptr, false);
                     std::string phase = j.is_object() ? j.value("phase", "") : "";
                     checker.told(now_, id, submission, r.status, phase);
@@ -756,7 +847,8 @@
                         again();
                     }
                 });
-            });
+        };
+        deliver(host, hosts_[host].life, 0, [this, host, method, path, body, take] { hosts_[host].node->on_request({method, path, body}, take); });
     });
 }
 
--- a/tests/world.h
+++ b/tests/world.h
@@ -1,6 +1,7 @@
 // A whole deployment in memory: network, state service, cloud, workers and users around real Nodes, on a simulated
 // clock and one seeded RNG.
 #pragma once
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -62,6 +63,8 @@
     void handle(const std::string& from, const HttpRequest& req, Reply reply);
     bool outage = false;
     std::set<std::string> refused;  // nodes that alone get 503
+    double rps = 0, write_rps = 0;  // 0: no limit
+    std::uint64_t over_rate = 0;    // requests answered 429
     std::size_t most_value = 4096, most_ops = 8;
     std::uint64_t revision = 1, commits = 0;
     std::map<std::string, std::pair<Json, std::uint64_t>> data;
@@ -94,7 +97,9 @@
     std::map<std::uint64_t, Grant> grants_;
     std::map<std::string, std::uint64_t> grant_of_;
     std::uint64_t next_grant_ = 1;
-    std::vector<Event> log_;
+    bool spend(double& tokens, double& last, double rate, double n);
+    double request_tokens_ = 0, write_tokens_ = 0, requests_last_ = -1, writes_last_ = -1;
+    std::deque<Event> log_;
     std::vector<Waiter> waiters_;
 };
 
@@ -109,6 +114,12 @@
         double value_kb = 4;
         int capacity = 40;
         double boot_s = 5;
+        double report_s = 1.5, lease_s = 10, cancel_s = 30;
+        double state_rps = 200, write_rps = 40, cloud_rps = 8;
+        double memory_mb = 56;
+        int max_sockets = 900;
+        double worker_step = 0.1;  // how often a worker looks at its clock
+        bool budgets = false;      // the state service and the cloud refuse what is over their rates
     };
     World() : World(Options()) {}
     explicit World(Options o);
@@ -121,6 +132,8 @@
 
     void start_node(int i);
     void crash(int i);
+    // Stands still while clocks run on; what comes meanwhile waits, and is handled before its own timers.
+    void freeze(int i, double for_s);
     zd::Node& node(int i) { return *hosts_[static_cast<std::size_t>(i)].node; }
     bool up(int i) const { return hosts_[static_cast<std::size_t>(i)].node != nullptr; }
     std::string name(int i) const { return "n" + std::to_string(i); }
@@ -135,6 +148,9 @@
     // Late copies: a report arrives once more at the same controller, so much later; its answer goes nowhere.
     double copies = 0;  // share of reports
     double copy_s = 40;  // up to
+    // Requests that were carried out come once more: commits, grants, rentals, returns, orders, submissions, cancellations.
+    double repeats = 0;  // share
+    double repeat_s = 90;  // up to so much later
     void copy_of_report(const std::string& machine, int to, double delay);
 
     Json job(const std::string& id, int tasks, double cpu = 1, double run_s = 5, const std::string& team = "red");
@@ -166,6 +182,9 @@
     std::mt19937_64 rng;
     double chance() { return std::uniform_real_distribution<>(0, 1)(rng); }
     double lease_s = 10, report_s = 1.5, gang_wait_s = 30, gang_peer_s = 4;
+    // The most that a controller had open at a time to workers, and the longest the users waited for an answer.
+    std::size_t most_calls = 0;
+    double slowest_answer = 0;
     const std::vector<std::string>& zones() const { return options_.zones; }
 
   private:
@@ -175,7 +194,12 @@
         std::unique_ptr<class SimEnv> env;
         std::unique_ptr<zd::Node> node;
         std::uint64_t life = 0;
+        double frozen_until = 0;
     };
+    bool frozen(std::size_t host) const { return hosts_[host].frozen_until > now_; }
+    // Runs `fn` for that life of a controller; later, if it stands still.
+    void deliver(std::size_t host, std::uint64_t life, double lag, std::function<void()> fn);
+    void repeat_later(const HttpRequest& req, std::function<void()> fn);
     void http(const std::string& from, const std::string& address, const HttpRequest& req, Reply reply);
     void cloud(const HttpRequest& req, const Reply& reply);
     void worker_http(Worker& w, const HttpRequest& req, const Reply& reply);
@@ -206,6 +230,9 @@
     std::map<std::string, std::set<int>> finished_;
     std::map<std::string, std::vector<std::string>> hire_answers_;
     std::map<std::string, double> born_;
+    std::map<std::string, std::string> by_address_;
+    std::map<std::string, std::set<std::string>> gang_at_;  // job: machines that hold members of it
+    double cloud_tokens_ = 0, cloud_last_ = -1;
 };
 
 }  // namespace zdtest
