Images known to every controller; freezes, repeats and mass cuts in stories; beats each second

Cause: gangs with room waited for fetches of images that lay on machines: the owner remembered 16 of what it had seen itself, and lost it with its part. Images now follow from the placements that every controller reads, as far as a machine's cache reaches, and the machines kept ready for a class are those that hold what it asks for most. Ruled out: room (half of all gangs have it at once).

To keep farther from 400 s the supplier hears of machines every second, and reads a lagging list less often.

--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -11,7 +11,8 @@
 constexpr Duration outage_grace = std::chrono::milliseconds(3500);
 constexpr Duration peer_quiet = std::chrono::milliseconds(1800);
 constexpr std::size_t most_in_beat = 500;     // machines; the rest follow in further messages
-constexpr std::uint64_t addresses_every = 20;  // beats
+constexpr std::uint64_t machines_every = 2;    // beats that tell the supplier of machines
+constexpr std::uint64_t addresses_every = 20;  // and all others
 constexpr double demand_scale = 100;  // in a beat's whole number
 }  // namespace
 
@@ -61,10 +62,11 @@
     // What each machine does matters to the supplier alone; the others must know where to announce themselves, should a
     // part fall to them. Told to all each time, the machines of a large fleet took more of the processors than the work.
     const NodeName& supplier = model_.supplier();
-    const bool all = beats_++ % addresses_every == 0;
+    const std::uint64_t beat = beats_++;
+    const bool all = beat % addresses_every == 0, to_supplier = beat % machines_every == 0;
     wire::Beat b{store_.reachable(), model_.seen.v, static_cast<std::uint32_t>(demand * demand_scale), {}};
     const std::string bare = wire::encode(b);
-    auto machines = fleet_.beats();
+    auto machines = to_supplier ? fleet_.beats() : std::vector<wire::MachineBeat>();
     std::vector<std::string> full;
     for (std::size_t at = 0; at == 0 || at < machines.size(); at += most_in_beat) {
         const auto end = std::min(machines.size(), at + most_in_beat);
@@ -74,7 +76,7 @@
         full.push_back(wire::encode(b));
     }
     for (const auto& s : settings_.seeds) {
-        if (!all && s.node != supplier) {
+        if (!all && (!to_supplier || s.node != supplier)) {
             env_.send_peer(s.node, bare);
             continue;
         }
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -152,7 +152,6 @@
                 continue;
             }
             if (t.cause == wire::Cause::done) {
-                note_image(m, job->spec.image);
                 m.errors = 0;
                 ledger_.finish(t.task, t.attempt, id);
                 continue;
@@ -172,7 +171,6 @@
             orders.push_back({wire::Verb::halt, t.task, t.attempt, 0});
             continue;
         }
-        if (t.phase != wire::TaskPhase::fetching) note_image(m, job->spec.image);
         if (job->cancelled) {
             orders.push_back({wire::Verb::halt, t.task, t.attempt, 0});
             continue;
@@ -238,7 +236,8 @@
 // Holds the image, or fetches it for another task by now: fetches at the same time share the machine's rate, so that a
 // second image beside the first delays both.
 bool Fleet::has_image(const MachineId& id, const Machine& m, const std::string& image) const {
-    if (std::find(m.images.begin(), m.images.end(), image) != m.images.end()) return true;
+    const auto* type = model_.type(m.type);
+    if (type != nullptr && model_.holds_image(id, image, type->cache_gb)) return true;
     const auto& placed = model_.on_machine(id);
     return std::any_of(placed.begin(), placed.end(), [&](const auto& ref) {
         const Job* j = model_.job(ref.job);
@@ -246,13 +245,6 @@
     });
 }
 
-void Fleet::note_image(Machine& m, const std::string& image) {
-    auto it = std::find(m.images.begin(), m.images.end(), image);
-    if (it != m.images.end()) m.images.erase(it);
-    m.images.push_front(image);
-    if (m.images.size() > 16) m.images.pop_back();
-}
-
 void Fleet::note_error(const MachineId& id, Machine& m, const JobId& job) {
     auto& where = job_errors_[job];
     where.insert(id);
@@ -481,6 +473,7 @@
         for (const auto& ref : std::set<TaskRef>(model_.on_machine(id)))
             ledger_.release(ref, model_.task(ref).attempt, id, "machine_returned");
         if (model_.on_machine(id).empty()) machines_.erase(id);
+        model_.forget_machine(id);
     }
 }
 
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -83,7 +83,6 @@
         bool over(std::uint64_t session, Term mine) const { return lapsed_term == mine && session <= lapsed_session; }
         std::optional<double> notice_s;
         Mono notice_at{};
-        std::deque<std::string> images;  // most recent first
         Mono blocked_until{};
         int errors = 0;
         std::set<JobId> error_jobs;
@@ -130,7 +129,6 @@
     bool usable(const MachineId& id, const Machine& m) const;
     void note_error(const MachineId& id, Machine& m, const JobId& job);
     bool has_image(const MachineId& id, const Machine& m, const std::string& image) const;
-    void note_image(Machine& m, const std::string& image);
     void announce(const MachineId& id);
     void announce_due();
     bool knows_us(const MachineId& id, Term mine) const;
--- a/src/loop/loop.cpp
+++ b/src/loop/loop.cpp
@@ -138,23 +138,22 @@
 }
 
 void Loop::run() {
+    for (;;) turn(std::chrono::seconds(60));
+}
+
+void Loop::turn(Duration most) {
     std::array<epoll_event, 64> events;
-    for (;;) {
-        int timeout = -1;
-        if (!timers_.empty()) {
-            auto wait = timers_.begin()->first.first - now();
-            auto ms = (wait.count() + 999) / 1000;
-            timeout = static_cast<int>(std::clamp<std::int64_t>(ms, 0, 60'000));
-        }
-        int n = ::epoll_wait(epoll_.get(), events.data(), static_cast<int>(events.size()), timeout);
-        for (int i = 0; i < n; ++i) {
-            auto it = handlers_.find(events[static_cast<std::size_t>(i)].data.fd);
-            if (it == handlers_.end()) continue;
-            auto handler = it->second;
-            (*handler)(events[static_cast<std::size_t>(i)].events);
-        }
-        run_timers();
+    auto wait = most;
+    if (!timers_.empty()) wait = std::min(wait, timers_.begin()->first.first - now());
+    const auto ms = (std::max(wait, Duration(0)).count() + 999) / 1000;
+    int n = ::epoll_wait(epoll_.get(), events.data(), static_cast<int>(events.size()), static_cast<int>(ms));
+    for (int i = 0; i < n; ++i) {
+        auto it = handlers_.find(events[static_cast<std::size_t>(i)].data.fd);
+        if (it == handlers_.end()) continue;
+        auto handler = it->second;
+        (*handler)(events[static_cast<std::size_t>(i)].events);
     }
+    run_timers();
 }
 
 }  // namespace zd
--- a/src/loop/loop.h
+++ b/src/loop/loop.h
@@ -56,6 +56,8 @@
     TimerId after(Duration d, std::function<void()> fn);
     void cancel(TimerId id);
     void run();
+    // One wait, of `most` at the longest, and what it brought.
+    void turn(Duration most);
 
   private:
     void run_timers();
--- a/src/store/model.cpp
+++ b/src/store/model.cpp
@@ -20,6 +20,7 @@
 namespace {
 // The longest entry of a placed task: index, attempt, machine and zone with their punctuation.
 constexpr std::size_t entry_bytes = 40, page_overhead = 400;
+constexpr std::size_t most_image_holders = 8192, most_images = 48;
 }  // namespace
 
 Model::Model(const Settings& settings) : settings_(settings), parts_(settings.size) {
@@ -278,6 +279,28 @@
     if (on_job) on_job(id);
 }
 
+void Model::note_image(const MachineId& m, const wire::JobSpec& s, Revision at) {
+    if (s.image.empty()) return;
+    if (images_.size() >= most_image_holders && !images_.contains(m)) {
+        // Bounded: machines that were taken away leave theirs behind.
+        const Revision old{at.v - std::min(at.v, at.v / 4)};
+        std::erase_if(images_, [&](const auto& e) { return e.second.at < old; });
+        if (images_.size() >= most_image_holders) images_.clear();
+    }
+    Images& of = images_[m];
+    of.at = std::max(of.at, at);
+    auto& r = of.recent;
+    std::erase_if(r, [&](const Image& i) { return i.name == s.image; });
+    r.push_front({s.image, s.image_gb});
+    if (r.size() > most_images) r.pop_back();
+}
+
+bool Model::holds_image(const MachineId& m, const std::string& image, double cache_gb) const {
+    bool found = false;
+    each_image(m, cache_gb, [&](const std::string& name) { found = found || name == image; });
+    return found;
+}
+
 void Model::set_page(Job& j, std::uint32_t n, std::vector<TaskState> tasks, Revision version) {
     Page& p = j.pages[n];
     j.placed -= p.placed;
@@ -298,6 +321,7 @@
         }
         if (is) {
             by_machine_[tasks[i].machine].insert(ref);
+            note_image(tasks[i].machine, j.spec, version);
             if (on_placed) on_placed(tasks[i].machine);
         }
     }
--- a/src/store/model.h
+++ b/src/store/model.h
@@ -1,6 +1,7 @@
 // What the state service holds, as last read: the shared view that every decision starts from. Decisions
 // become facts only by a commit whose conditions name the versions seen here.
 #pragma once
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -95,6 +96,21 @@
     static Json encode_job(const Job& j);
     static std::optional<Job> decode_job(const Json& v);
 
+    // Images of the tasks placed on a machine, as far back as its cache reaches. Every controller knows them of every
+    // machine: what only the owner had seen was lost with it, and gangs waited for fetches of what lay there already.
+    bool holds_image(const MachineId& m, const std::string& image, double cache_gb) const;
+    // Calls `fn` with each.
+    template <class Fn>
+    void each_image(const MachineId& m, double cache_gb, Fn fn) const {
+        auto it = images_.find(m);
+        if (it == images_.end()) return;
+        for (const auto& i : it->second.recent) {
+            if ((cache_gb -= i.gb) < 0) return;
+            fn(i.name);
+        }
+    }
+    void forget_machine(const MachineId& m) { images_.erase(m); }
+
     // Machines are parted among the controllers by the hash of their names.
     std::uint32_t part_of(const MachineId& m) const;
     bool team_has_room(const TeamName& t, const Room& need, TaskIndex tasks) const;
@@ -112,12 +128,22 @@
     void apply_job(const JobId& id, const Item& item);
     void apply_page(const std::string& rest, const Item& item);
     void set_page(Job& j, std::uint32_t n, std::vector<TaskState> tasks, Revision version);
+    void note_image(const MachineId& m, const wire::JobSpec& s, Revision at);
+    struct Image {
+        std::string name;
+        double gb = 0;
+    };
+    struct Images {
+        std::deque<Image> recent;  // newest first
+        Revision at;
+    };
     const Settings& settings_;
     std::uint32_t page_size_;
     std::unordered_map<std::string, Revision> versions_;  // of deleted keys too, until `seen` passes them
     std::unordered_map<std::string, bool> present_;
     std::unordered_map<JobId, Job> jobs_;
     std::unordered_map<MachineId, std::set<TaskRef>> by_machine_;
+    std::unordered_map<MachineId, Images> images_;
     std::vector<Part> parts_;
     std::map<NodeName, Revision> nodes_;
     std::map<TeamName, TeamUse> teams_;
--- a/src/supply/supply.cpp
+++ b/src/supply/supply.cpp
@@ -70,7 +70,8 @@
     }
     if (now >= types_due_) read_types();
     if (now >= list_due_ && !listing_) {
-        list_due_ = now + std::max(seconds(2), seconds(2.0 / settings_.cloud_rps));
+        // A list that lags tells little more when it is read often; its pages cost calls and time.
+        list_due_ = now + seconds(std::max({2.0, 2.0 / settings_.cloud_rps, settings_.list_lag_s / 3}));
         read_list("", {});
     }
     std::erase_if(gone_, [&](const auto& g) { return now - g.second > seconds(settings_.list_lag_s * 3 + 30); });
@@ -266,6 +267,7 @@
     note_placed();
     reserve(in);
     supply::Plan p = supply::make_plan(std::move(in));
+    tell_reserved();
     // A new supplier sees what its predecessor rented only when the list has caught up.
     const bool caught_up = now - active_since_ > seconds(std::min(8.0, settings_.list_lag_s + 1)) ||
                            active_since_ - Mono{} < seconds(1);
@@ -400,6 +402,7 @@
             if (d.spec->job_class == name) waiting += d.tasks;
         std::vector<std::pair<double, supply::Bin*>> order;
         std::size_t running = 0;
+        const auto shares = a.image_shares();
         const sched::Reservation mark{name, a.spec.rank, std::min(within * 0.4, 10.0)};
         for (auto& b : in.bins) {
             if (b.id.empty() || b.reserved || !sched::machine_allowed(a.spec, a.pin, b.type, b.zone, b.spot)) continue;
@@ -412,7 +415,14 @@
             const bool was = reserved_.contains(b.id), busy = !model_.on_machine(b.id).empty();
             // Of the busy ones those first that lose least when they are cleared.
             const double loss = busy && !runs ? loss_of(b.id, mark).value_or(1e6) : 0;
-            order.emplace_back(runs ? 0 : clearing_.contains(b.id) ? 0.5 : was && !busy ? 1 : !busy ? 2 : (was ? 3 : 4) + loss, &b);
+            // Of the idle ones those first that hold the images which the class asks for most: a gang with room waits for
+            // the fetch of its image alone.
+            double held = 0;
+            if (!busy)
+                model_.each_image(b.id, t->cache_gb, [&](const std::string& image) {
+                    if (auto s = shares.find(image); s != shares.end()) held += s->second;
+                });
+            order.emplace_back(runs ? 0 : clearing_.contains(b.id) ? 0.5 : !busy ? 2 - held - (was ? 0.1 : 0) : (was ? 3 : 4) + loss, &b);
         }
         std::stable_sort(order.begin(), order.end(), [](const auto& x, const auto& y) { return x.first < y.first; });
         const std::size_t want = running + waiting + ready;
@@ -433,8 +443,7 @@
         standing.push_back(std::move(d));
     }
     for (auto& d : standing) in.demands.push_back(std::move(d));
-    reserved_ = chosen;
-    tell_reserved();
+    reserved_ = std::move(chosen);
 }
 
 // Each owner hears of its own machines.
@@ -498,7 +507,7 @@
         pin = zone;
     }
     if (first == WallMs{}) first = at;
-    times.emplace(std::make_pair(at, s.id), s.shape == wire::Shape::gang ? s.tasks : 1);
+    times.emplace(std::make_pair(at, s.id), Arrival{s.shape == wire::Shape::gang ? s.tasks : 1, s.image});
     if (times.size() > 500) times.erase(times.begin());
 }
 
@@ -508,10 +517,21 @@
 
 double Supply::Arrivals::machines_per_s(WallMs now) const {
     double tasks = 0;
-    for (const auto& [when, n] : times) tasks += n;
+    for (const auto& [when, a] : times) tasks += a.tasks;
     return tasks / window_s(now);
 }
 
+std::map<std::string, double> Supply::Arrivals::image_shares() const {
+    std::map<std::string, double> shares;
+    double all = 0;
+    for (const auto& [when, a] : times) {
+        shares[a.image] += a.tasks;
+        all += a.tasks;
+    }
+    for (auto& [image, share] : shares) share /= all;
+    return shares;
+}
+
 double Supply::Arrivals::window_s(WallMs now) const {
     return std::clamp(static_cast<double>(now.v - first.v) / 1000.0, 30.0, window_ms / 1000.0);
 }
--- a/src/supply/supply.h
+++ b/src/supply/supply.h
@@ -49,11 +49,16 @@
         static constexpr std::int64_t window_ms = 240'000;
         wire::JobSpec spec;  // of the latest
         std::optional<std::string> pin;
-        std::map<std::pair<WallMs, JobId>, TaskIndex> times;  // and how many tasks each has
+        struct Arrival {
+            TaskIndex tasks = 0;
+            std::string image;
+        };
+        std::map<std::pair<WallMs, JobId>, Arrival> times;
         WallMs first;
         void note(const wire::JobSpec& s, WallMs at, const std::optional<std::string>& zone);
         void forget(WallMs now);
         double window_s(WallMs now) const;
+        std::map<std::string, double> image_shares() const;  // of its tasks
         double machines_per_s(WallMs now) const;  // tasks a second, a gang's counted one by one
     };
     void tick();
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -63,10 +63,11 @@
         for (const auto& id : ids) n += w.on_machines(id);
         return n;
     }
-    std::vector<std::string> some(int n) {
+    // Some machines at random; busy ones, if asked.
+    std::vector<std::string> some(int n, bool busy = false) {
         std::vector<std::string> all, out;
         for (auto& [id, m] : w.workers())
-            if (m.alive) all.push_back(id);
+            if (m.alive && (!busy || !m.tasks.empty())) all.push_back(id);
         std::sample(all.begin(), all.end(), std::back_inserter(out), n, w.rng);
         return out;
     }
@@ -157,5 +158,63 @@
     s.expect_rules();
 }
 
+// A third of the machines is cut off for longer than a lease, with what is sent meanwhile delivered late, while one
+// controller is gone. What ran elsewhere runs on; what was lost is started again within a bound; and nothing runs twice.
+void third_cut(bool hang) {
+    const int machines = 300 / shrink;
+    FleetStory s(fleet_options(3, machines), machines);
+    World& w = s.w;
+    w.run(8);
+    s.submit(machines * 6 / 10, 150);
+    ASSERT_TRUE(w.run_until([&] { return s.running() >= machines * 6 / 10; }, 45));
+    const auto cut = s.some(machines / 3, true);
+    for (const auto& id : cut) {
+        if (hang) {
+            w.hang(id, 40);
+            continue;
+        }
+        for (int n = 0; n < 3; ++n) w.link(id, w.name(n), Link::hold);
+        w.at(45, [&w, id] {
+            for (int n = 0; n < 3; ++n) w.link(id, w.name(n), Link::up);
+        });
+    }
+    w.at(26, [&w, cut] {
+        // Within their lease they may be running: none is given up.
+        for (const auto& id : cut) EXPECT_TRUE(w.workers().contains(id)) << id;
+    });
+    w.run(3);
+    w.crash(0);
+    w.at(5, [&w] { w.start_node(0); });
+    // Work that comes meanwhile begins, at the latest when a machine rented for it is up.
+    const int starts = w.checker.starts;
+    s.submit(machines / 20, 20);
+    EXPECT_TRUE(w.run_until([&] { return w.checker.starts >= starts + machines / 20; }, 45));
+    // Lost with the cut machines, at most their share; started again once their leases lapsed.
+    EXPECT_TRUE(s.all_done(330));
+    EXPECT_LE(w.checker.starts, starts + machines / 20 + machines / 3);
+    s.expect_bounds();
+    s.expect_rules();
+}
+TEST(Fleet, ThirdOfTheMachinesCutWithPacketsHeld) { third_cut(false); }
+TEST(Fleet, ThirdOfTheMachinesHang) { third_cut(true); }
+
+// Machines are taken without notice while a controller crashes.
+TEST(Fleet, MachinesLostWithACrash) {
+    const int machines = 300 / shrink;
+    FleetStory s(fleet_options(3, machines), machines);
+    World& w = s.w;
+    w.run(8);
+    s.submit(machines * 6 / 10, 60);
+    ASSERT_TRUE(w.run_until([&] { return s.running() >= machines * 6 / 10; }, 45));
+    const int starts = w.checker.starts;
+    w.crash(1);
+    for (const auto& id : s.some(machines / 3)) w.kill_machine(id);
+    w.at(3, [&w] { w.start_node(1); });
+    EXPECT_TRUE(s.all_done(240));
+    EXPECT_LE(w.checker.starts, starts + machines / 3);
+    s.expect_bounds();
+    s.expect_rules();
+}
+
 }  // namespace
 }  // namespace zdtest
--- a/tests/stories_test.cpp
+++ b/tests/stories_test.cpp
@@ -772,6 +772,123 @@
     expect_rules(w);
 }
 
+// Every commit that was carried out arrives once more, long after the jobs are closed: none revives a job, a page or
+// a controller's old claim.
+TEST(Story, RepeatedCommitsChangeNothing) {
+    World w;
+    w.store.record = true;
+    w.run(3);
+    auto ids = submit_some(w, 1, 4, 6);
+    ids.push_back(id_of(50));
+    Json gang = w.job(ids.back(), 3, 2, 6, "blue");
+    gang["shape"] = "group";
+    w.submit(gang);
+    w.submit(w.job(id_of(60), 5, 1, 300));
+    ids.push_back(id_of(60));
+    w.run(20);
+    w.cancel(id_of(60));
+    w.crash(1);
+    w.run(6);
+    w.start_node(1);
+    ASSERT_TRUE(told_all(w, ids, 90));
+    w.run(10);
+    w.store.record = false;
+    auto part = [&](const std::string& prefix) {
+        std::map<std::string, Json> out;
+        for (const auto& [k, v] : w.store.data)
+            if (k.rfind(prefix, 0) == 0) out[k] = v.first;
+        return out;
+    };
+    const auto parts = part("z/p/"), ends = part("f/"), teams = part("z/q/");
+    ASSERT_GT(w.store.carried_out.size(), 30U);
+    ASSERT_EQ(ends.size(), ids.size());
+    for (const auto& req : std::vector<HttpRequest>(w.store.carried_out)) w.store.handle("n0", req, [](const HttpResponse&) {});
+    w.run(1);
+    EXPECT_TRUE(part("z/j/").empty());
+    EXPECT_TRUE(part("z/t/").empty());
+    EXPECT_EQ(part("z/p/"), parts);
+    EXPECT_EQ(part("f/"), ends);
+    EXPECT_EQ(part("z/q/"), teams);
+    w.run(15);
+    for (int n = 0; n < 3; ++n) EXPECT_TRUE(w.node(n).cluster().is_live(zd::NodeName(w.name(n))));
+    EXPECT_TRUE(told_all(w, submit_some(w, 80, 2, 4), 60));
+    expect_rules(w);
+}
+
+// Users, cloud, workers and state service get what they carried out once more, up to a minute and a half later.
+TEST(Story, RepeatsOfEveryKind) {
+    World w;
+    w.repeats = 0.5;
+    w.run(3);
+    std::vector<std::string> ids;
+    for (int i = 0; i < 12; ++i) {
+        auto more = submit_some(w, 10 * i, 2, 5, 4);
+        ids.insert(ids.end(), more.begin(), more.end());
+        if (i % 4 == 1) w.cancel(ids.back());
+        for (const auto& id : ids)
+            if (w.accepted(id)) w.poll(id);
+        w.run(10);
+    }
+    EXPECT_TRUE(told_all(w, ids, 100));
+    w.run(100);
+    for (const auto& id : ids) w.poll(id);
+    w.run(3);
+    EXPECT_TRUE(w.workers().empty());  // no repeated rental left a machine behind
+    for (const auto& [k, v] : w.store.data) EXPECT_TRUE(k.rfind("z/j/", 0) != 0 && k.rfind("z/t/", 0) != 0) << k;
+    expect_rules(w);
+}
+
+// A supplier that stood still for longer than its lease knows nothing of the time since: by its old view, all that
+// others had taken over was silent, and it returned machines in use.
+TEST(Story, FrozenSupplierReturnsNothingInUse) {
+    World w;
+    w.run(3);
+    w.submit(w.job(id_of(1), 16, 1, 120));
+    ASSERT_TRUE(w.run_until([&] { return w.on_machines(id_of(1)) == 16; }, 60));
+    const std::string supplier = w.node(0).model().supplier().v;
+    int n = 0;
+    while (w.name(n) != supplier) ++n;
+    w.freeze(n, 40);
+    w.run(39.9);
+    EXPECT_EQ(w.on_machines(id_of(1)), 16);
+    w.run(12);
+    EXPECT_TRUE(told_all(w, {id_of(1)}, 150));
+    EXPECT_EQ(w.checker.starts, 16);
+    expect_rules(w);
+}
+
+// Left with one worker alone, an owner must not order what it committed before: the job may be cancelled by now, and it
+// would never hear of it.
+TEST(Story, NothingIsStartedWithoutTheStateService) {
+    World::Options o;
+    o.capacity = 1;
+    World w(o);
+    w.run(3);
+    w.submit(w.job(id_of(1), 1, 1, 3));
+    ASSERT_TRUE(told_all(w, {id_of(1)}, 40));
+    ASSERT_EQ(w.workers().size(), 1U);
+    const std::string machine = w.workers().begin()->first;
+    int owner = 0;
+    while (!w.node(owner).cluster().term_of(zd::MachineId(machine))) ++owner;
+    // A start is committed, and its order has not reached the machine.
+    for (int n = 0; n < 3; ++n) w.link(machine, w.name(n), Link::drop);
+    const std::string job = id_of(2);
+    w.submit(w.job(job, 1, 1, 300), owner);
+    ASSERT_TRUE(w.run_until([&] { return w.placed_on(machine) == 1; }, 2));
+    for (int n = 0; n < 3; ++n)
+        if (n != owner) w.link(w.name(owner), w.name(n), Link::drop);
+    w.link(w.name(owner), "state", Link::drop);
+    w.cancel(job, (owner + 1) % 3);
+    ASSERT_TRUE(w.run_until([&] { return w.told(job) == "withdrawn"; }, 4));
+    w.run(3);
+    w.link(machine, w.name(owner), Link::up);
+    for (int i = 0; i < 40; ++i) {
+        w.run(1);
+        EXPECT_EQ(w.on_machines(job), 0);
+    }
+    expect_rules(w);
+}
+
 // Anything may happen at any time, several things at once: the rules hold, and once it is over all work gets done.
 class RandomFaults : public testing::TestWithParam<std::uint64_t> {};
 TEST_P(RandomFaults, RulesHold) {
@@ -804,7 +921,7 @@
         for (auto& [id, m] : w.workers())
             if (m.alive) machines.push_back(id);
         const std::string machine = machines.empty() ? "" : machines[w.rng() % machines.size()];
-        switch (pick(13)) {
+        switch (pick(16)) {
             case 0:
                 w.crash(n);
                 w.at(0.1 + 6 * w.chance(), [&w, n] { w.start_node(n); });
@@ -861,6 +978,20 @@
                         w.at(15, [&w, name, o2] { w.link(name, o2, Link::up); });
                     }
                 break;
+            case 12:
+                w.freeze(n, 1 + 20 * w.chance());
+                break;
+            case 13:
+                for (std::size_t i = 0; i < machines.size(); i += 3)
+                    for (int k = 0; k < 3; ++k) {
+                        w.link(machines[i], w.name(k), cut);
+                        w.at(14, [&w, m = machines[i], k] { w.link(m, w.name(k), Link::up); });
+                    }
+                break;
+            case 14:
+                w.repeats = 0.3;
+                w.at(6, [&w] { w.repeats = 0; });
+                break;
             default:
                 if (!machine.empty()) w.notice(machine, 6);
         }
--- a/tests/units_test.cpp
+++ b/tests/units_test.cpp
@@ -8,6 +8,7 @@
 #include "loop/http.h"
 #include "policy/policy.h"
 #include "sched/logic.h"
+#include "store/store.h"
 #include "supply/plan.h"
 #include "wire/peer.h"
 
@@ -222,5 +223,54 @@
     EXPECT_TRUE(p.wanted.contains(MachineId("host-1")));
 }
 
+// The world as a list of what was asked of it.
+class Asked : public Env {
+  public:
+    Mono now() override { return Mono(std::chrono::seconds(1000)); }
+    WallMs wall() override { return {}; }
+    TimerId after(Duration, std::function<void()>) override { return ++timers_; }
+    void cancel(TimerId) override {}
+    void http(const std::string&, HttpRequest req, Duration, Reply) override { paths.push_back(req.path); }
+    void send_peer(const NodeName&, std::string) override {}
+    std::mt19937_64& rng() override { return rng_; }
+    std::vector<std::string> paths;
+
+  private:
+    TimerId timers_ = 0;
+    std::mt19937_64 rng_{1};
+};
+
+// Decisions may ask for more than there is: questions about jobs have a share that these can't take.
+TEST(Budget, UsersReadsHaveTheirShare) {
+    Asked env;
+    const Settings settings = parse_settings(good_settings);
+    StoreClient store(env, settings);
+    for (int i = 0; i < 300; ++i) store.get("z/t/job-1/" + std::to_string(i), Urgency::decision, [](const GetResult&) {});
+    const std::size_t before = env.paths.size();
+    EXPECT_LT(before, 200U);
+    for (int i = 0; i < 30; ++i) store.get("z/j/job-" + std::to_string(i), Urgency::user, [](const GetResult&) {});
+    EXPECT_EQ(env.paths.size(), before + 30);
+    EXPECT_EQ(env.paths.back(), "/store/z/j/job-29");
+}
+
+// What users and workers may hold is what our own calls leave, at any valid number of sockets and controllers.
+TEST(Settings, SocketsAreSharedOut) {
+    Settings s = parse_settings(good_settings);
+    for (const std::uint32_t sockets : {32U, 900U, 3194U, 10'000'000U})
+        for (const std::size_t peers : {0U, 2U, 6U, 40U}) {
+            s.max_sockets = sockets;
+            s.seeds.assign(peers, Seed{NodeName("n9"), "a", "10.0.0.9:1"});
+            const auto share = s.sockets();
+            for (const std::size_t n : {share.state, share.cloud, share.workers, share.server}) EXPECT_GE(n, 2U);
+            if (sockets >= 900) {
+                EXPECT_LE(share.state + share.cloud + share.workers + share.peers + share.server, sockets);
+            }
+        }
+    // All workers of the largest deployment known may come to one controller.
+    s.max_sockets = 2991;
+    s.seeds.resize(2);
+    EXPECT_GT(s.sockets().server, 2000U);
+}
+
 }  // namespace
 }  // namespace zd
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -190,6 +190,7 @@
         if (w.contains("set") && w["value"].dump().size() > most_value) oversize = w["set"].get<std::string>();
     }
     if (!failed.empty()) return reply({409, Json{{"failed", failed}, {"epoch", revision}}.dump(), -1});
+    if (record) carried_out.push_back(req);
     if (!body["writes"].empty()) ++revision;
     for (const auto& w : body["writes"]) {
         if (w.contains("delete")) {
--- a/tests/world.h
+++ b/tests/world.h
@@ -73,6 +73,8 @@
         auto it = grant_of_.find(key);
         return it == grant_of_.end() ? 0 : it->second;
     }
+    bool record = false;  // keep what was carried out, to be sent once more
+    std::vector<HttpRequest> carried_out;
     std::string oversize;  // a write over the limits, if one ever came
 
   private:
