--- a/src/cluster/cluster.cpp
+++ b/src/cluster/cluster.cpp
@@ -255,7 +255,10 @@
         const NodeName home = all_[k % all_.size()];
         // What our life before held is ours to claim, whoever the hash names now: back within its session's length, we
         // look alive to the others, and nobody else would.
-        const bool mine = home == settings_.node ||
+        auto given = handed_over_.find(k);
+        if (given != handed_over_.end() && (env_.now() - given->second > seconds(settings_.lease_s * 3) || !is_live(p.owner)))
+            given = (handed_over_.erase(given), handed_over_.end());
+        const bool mine = (home == settings_.node && given == handed_over_.end()) || p.owner == settings_.node ||
                           (!is_live(home) && (p.owner == settings_.node ||
                                               ((p.owner.empty() || !is_live(p.owner)) &&
                                                pick(keys::part(k), among) == settings_.node)));
@@ -267,14 +270,17 @@
     if (!standing_ && (model_.supplier().empty() || !is_live(model_.supplier()))) stand_for_supplier();
 }
 
-void Cluster::claim(std::uint32_t part) {
-    claiming_.insert(part);
+void Cluster::write_owner(std::uint32_t part, const NodeName& owner, std::function<void(CommitResult)> done) {
     Txn txn;
     const std::string key = keys::part(part);
     txn.conditions.push_back({key, model_.version(key)});
-    Json value = {{"owner", settings_.node.v}, {"inc", incarnation_.v}};
-    txn.writes.push_back({key, value, std::nullopt});
-    store_.commit(txn, Urgency::lease, [this, part, key, value](CommitResult r) {
+    txn.writes.push_back({key, Json{{"owner", owner.v}, {"inc", incarnation_.v}}, std::nullopt});
+    store_.commit(txn, Urgency::lease, std::move(done));
+}
+
+void Cluster::claim(std::uint32_t part) {
+    claiming_.insert(part);
+    write_owner(part, settings_.node, [this, part](const CommitResult& r) {
         claiming_.erase(part);
         if (r.outcome == Outcome::ok) {
             claims_[part] = r.revision;
@@ -288,6 +294,19 @@
     });
 }
 
+void Cluster::hand_over(std::uint32_t part) {
+    std::vector<NodeName> others;
+    for (const auto& n : live())
+        if (n != settings_.node) others.push_back(n);
+    if (others.empty() || !in_touch() || claiming_.contains(part)) return;
+    claiming_.insert(part);
+    const NodeName to = pick(keys::part(part) + "+", others);
+    handed_over_[part] = env_.now();
+    log::warn("event=part_handed_over part={} to={} reason=hears_no_worker", part, to.v);
+    // Named owner, the other one claims it under a term of its own.
+    write_owner(part, to, [this, part](const CommitResult&) { claiming_.erase(part); });
+}
+
 void Cluster::stand_for_supplier() {
     standing_ = true;
     Txn txn;
--- a/src/cluster/cluster.h
+++ b/src/cluster/cluster.h
@@ -43,6 +43,10 @@
     // Unique to this process among all that ever ran: the revision of its first session.
     Revision incarnation() const { return incarnation_; }
 
+    // Gives a part to another live controller: this one hears none of its workers. Taken back at the earliest when a few
+    // leases have passed, or when the other is gone; a process that starts anew knows nothing of it.
+    void hand_over(std::uint32_t part);
+
     std::function<void(std::uint32_t part)> on_part_gained;
     std::function<void()> on_synced;
 
@@ -58,6 +62,7 @@
     void changed();
     void review();
     void claim(std::uint32_t part);
+    void write_owner(std::uint32_t part, const NodeName& owner, std::function<void(CommitResult)> done);
     void stand_for_supplier();
     Env& env_;
     const Settings& settings_;
@@ -75,6 +80,7 @@
     double write_share_ = 0;  // 0: one by the number of nodes
     std::map<std::uint32_t, Term> claims_;  // won by this process
     std::set<std::uint32_t> claiming_;
+    std::map<std::uint32_t, Mono> handed_over_;
     std::set<std::uint32_t> announced_;
     std::vector<Item> pending_;  // read so far by the load under way
     Duration life_;
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -14,6 +14,7 @@
 constexpr double elder_wait_s = 5;   // what has waited so long
 constexpr double elder_apart_s = 3;  // and is older by so much goes first,
 constexpr Duration kept_for = std::chrono::milliseconds(1500);  // for so long on each machine
+constexpr std::size_t few_machines = 5;  // whose silence together is no chance
 constexpr int most_orders = 2;                  // answers with the same run before it is given up
 // Two clocks may each be off by 0.05%; the rest covers the timer's own step.
 Duration surely_lapsed(double lease_s) { return seconds(lease_s * 1.002) + millis(100); }
@@ -47,6 +48,7 @@
     Machine& m = machines_[r.machine];
     if (m.first_known == Mono{}) m.first_known = env_.now();
     m.last_heard = env_.now();
+    hearing_[model_.part_of(r.machine)].heard = env_.now();
     log::debug("event=check_in machine={} session={} seq={} shown={} term={} hears={} answered={} at={:.3f}", r.machine.v, r.age.session,
                r.age.seq, r.term.v, mine->v, m.hears, m.answered_seq, to_s(env_.now().time_since_epoch()));
     // An older check-in still held: its worker has moved on, and no order in its answer would be executed.
@@ -506,6 +508,7 @@
 
 void Fleet::on_part_gained(std::uint32_t part) {
     log::info("event=part_gained part={} term={}", part, cluster_.term(part)->v);
+    hearing_[part] = {env_.now(), {}};
     // For how long machines were silent is counted from now: what was heard in an earlier term says nothing of the time
     // since, when others heard them.
     for (const auto& [id, placed] : model_.machines())
@@ -621,6 +624,26 @@
               seconds(2), [](const HttpResponse&) {});
 }
 
+// Cut off from the workers alone, an owner that is in touch with the state service kept its part while every lease in it
+// ran out, though others heard the workers. Where none of several is heard for longer than any would keep silent by chance,
+// the part goes to another; and on after two leases, should that one hear none either.
+void Fleet::give_up_unheard() {
+    if (!cluster_.in_touch()) return;
+    const Mono now = env_.now();
+    const Duration lease = seconds(settings_.lease_s);
+    const Duration quiet = seconds(std::max(settings_.report_s * 1.75, settings_.lease_s * 0.3));
+    std::map<std::uint32_t, std::size_t> heard, known;
+    for (const auto& [id, m] : machines_)
+        if (now - m.last_heard < lease) ++heard[model_.part_of(id)];
+    for (const auto& [id, a] : addresses_) ++known[model_.part_of(id)];
+    for (const auto& [part, h] : hearing_) {
+        if (!cluster_.term(part)) continue;
+        const bool fell_silent = h.heard > h.gained && now - h.heard > quiet && heard[part] >= few_machines;
+        const bool never_heard = h.heard <= h.gained && now - h.gained > 2 * lease && known[part] >= few_machines;
+        if (fell_silent || never_heard) cluster_.hand_over(part);
+    }
+}
+
 void Fleet::sweep() {
     env_.after(millis(500), [this] { sweep(); });
     ++room_epoch_;  // machine types may have changed
@@ -635,6 +658,7 @@
     });
     if (!cluster_.synced()) return;
     announce_due();
+    give_up_unheard();
     // A machine that only its committed tasks tell of is watched too: its silence must come to an end.
     for (const auto& [id, placed] : model_.machines())
         if (cluster_.term_of(id)) {
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -133,6 +133,7 @@
     void announce_due();
     bool knows_us(const MachineId& id, Term mine) const;
     void sweep();
+    void give_up_unheard();
     void answer_drain(const MachineId& id, Machine& m);
     bool empty(const MachineId& id, const Machine& m) const;
     Env& env_;
@@ -162,6 +163,10 @@
     };
     std::map<MachineId, Address> addresses_;
     std::size_t asking_ = 0;
+    struct Hearing {
+        Mono gained{}, heard{};
+    };
+    std::map<std::uint32_t, Hearing> hearing_;  // of the parts that are ours
     Counts counts_;
     // Returned machines, newest last: a late copy of a report must not bring one back.
     std::set<MachineId> gone_;
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -198,6 +198,34 @@
 TEST(Fleet, ThirdOfTheMachinesCutWithPacketsHeld) { third_cut(false); }
 TEST(Fleet, ThirdOfTheMachinesHang) { third_cut(true); }
 
+// One controller loses the workers and nothing else, for longer than a lease: the others hear them, and take its part over
+// before anything is lost. Back in reach, it takes its part up again without harm.
+TEST(Fleet, OwnerThatHearsNoWorker) {
+    for (const Link cut : {Link::hold, Link::drop}) {
+        FleetStory s(fleet_options(3, 60), 60);
+        World& w = s.w;
+        w.run(8);
+        s.submit(54, 150);
+        ASSERT_TRUE(w.run_until([&] { return s.running() >= 54; }, 45));
+        const int starts = w.checker.starts;
+        std::vector<std::string> all;
+        for (auto& [id, m] : w.workers()) all.push_back(id);
+        for (const auto& id : all) w.link("n0", id, cut);
+        w.run(40);
+        EXPECT_EQ(s.running(), 54);
+        for (const auto& id : all) w.link("n0", id, Link::up);
+        w.run(60);
+        for (std::uint32_t part = 0; part < 3; ++part) {
+            int owners = 0;
+            for (int n = 0; n < 3; ++n) owners += w.node(n).cluster().term(part) ? 1 : 0;
+            EXPECT_EQ(owners, 1);
+        }
+        EXPECT_TRUE(s.all_done(200));
+        EXPECT_EQ(w.checker.starts, starts);
+        s.expect_rules();
+    }
+}
+
 // Machines are taken without notice while a controller crashes.
 TEST(Fleet, MachinesLostWithACrash) {
     const int machines = 300 / shrink;
