Renew leases only while every cancellation told to a user is surely known

Cause: an owner refused by the state service alone went on renewing leases without bound and learnt of cancellations by the watch only.

Each owner keeps the time up to which it knows all that any user was told (Horizon): when its newest answered read of the state service was sent, or when it sent the beat that every other controller has echoed with the cancelled jobs it knows. It renews a lease only while that lease would end within cancel_s of it. A peer that began anew vouches for nothing of before. Cancellations are also told to all controllers at once and halted by direct orders.

Ruled out: waiting with the confirmation for peers (answers are not held); passing on other peers' reads as a third way, built and dropped: without it no story fails, since a refused owner loses its parts within its session.

--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -18,10 +18,10 @@
 
 Node::Node(Env& env, const Settings& settings, const Policy& policy)
     : env_(env), settings_(settings), model_(settings), store_(env, settings), cloud_(env, settings),
-      cluster_(env, settings, store_, model_), ledger_(env, settings, store_, model_, cluster_,
+      cluster_(env, settings, store_, model_), horizon_(env, settings, model_), ledger_(env, settings, store_, model_, cluster_,
               [this](const NodeName& to, wire::PeerMessage m) { send(to, std::move(m)); },
               [this](const NodeName& n) { return near(n); }),
-      fleet_(env, settings, model_, cluster_, ledger_,
+      fleet_(env, settings, model_, cluster_, horizon_, ledger_,
              [this](const NodeName& to, wire::PeerMessage m) { send(to, std::move(m)); }),
       api_(env, settings, store_, model_, cluster_),
       relay_(env, settings, store_, model_, cluster_, ledger_,
@@ -31,6 +31,11 @@
     model_.on_job = [this](const JobId& id) { relay_.on_job(id); };
     model_.on_placed = [this](const MachineId& id) { fleet_.on_placed(id); };
     model_.on_jobs = [this] { fleet_.on_jobs(); };
+    model_.on_cancelled = [this](const JobId& id) { fleet_.on_cancelled(id); };
+    cluster_.on_read = [this](Mono sent) { horizon_.on_read(sent); };
+    api_.on_cancelled = [this](const JobId& id) {
+        for (const auto& s : settings_.seeds) send(s.node, wire::CalledOff{id});
+    };
     cluster_.on_part_gained = [this](std::uint32_t part) { fleet_.on_part_gained(part); };
 }
 
@@ -64,9 +69,14 @@
     const NodeName& supplier = model_.supplier();
     const std::uint64_t beat = beats_++;
     const bool all = beat % addresses_every == 0, to_supplier = beat % machines_every == 0;
-    wire::Beat b{store_.reachable(), model_.seen.v, static_cast<std::uint32_t>(demand * demand_scale), {}};
-    const std::string bare = wire::encode(b);
-    auto machines = to_supplier ? fleet_.beats() : std::vector<wire::MachineBeat>();
+    wire::Beat b{{}, store_.reachable(), model_.seen.v, static_cast<std::uint32_t>(demand * demand_scale), {}};
+    for (const auto& s : settings_.seeds) {
+        b.vouch = horizon_.vouch_for(s.node);
+        send(s.node, b);
+    }
+    b.vouch = {};
+    if (!to_supplier) return;
+    auto machines = fleet_.beats();
     std::vector<std::string> full;
     for (std::size_t at = 0; at == 0 || at < machines.size(); at += most_in_beat) {
         const auto end = std::min(machines.size(), at + most_in_beat);
@@ -76,10 +86,7 @@
         full.push_back(wire::encode(b));
     }
     for (const auto& s : settings_.seeds) {
-        if (!all && (!to_supplier || s.node != supplier)) {
-            env_.send_peer(s.node, bare);
-            continue;
-        }
+        if (!all && s.node != supplier) continue;
         for (const auto& frame : full) env_.send_peer(s.node, frame);
     }
 }
@@ -150,6 +157,7 @@
                   {"shed", store_.counts().shed}}},
                 {"workers",
                  {{"check_ins", fleet_.counts().check_ins},
+                  {"not_renewed", fleet_.counts().not_renewed},
                   {"stale", fleet_.counts().stale},
                   {"asks", fleet_.counts().asks},
                   {"offers", fleet_.counts().offers},
@@ -169,6 +177,7 @@
             using T = std::decay_t<decltype(v)>;
             if constexpr (std::is_same_v<T, wire::Beat>) {
                 peers_[from] = {env_.now(), v.store_ok, v.write_demand / demand_scale};
+                if (v.vouch.life != 0) horizon_.on_vouch(from, v.vouch);
                 fleet_.on_beat(v);
                 supply_.on_beat(from, v);
             } else if constexpr (std::is_same_v<T, wire::Ask>) {
@@ -198,6 +207,8 @@
                 fleet_.on_sighted(v);
             } else if constexpr (std::is_same_v<T, wire::Preempt>) {
                 fleet_.on_preempt(v);
+            } else if constexpr (std::is_same_v<T, wire::CalledOff>) {
+                model_.call_off(v.job);
             }
         },
         m);
--- a/src/app/node.h
+++ b/src/app/node.h
@@ -7,6 +7,7 @@
 #include "base/settings.h"
 #include "cloud/cloud.h"
 #include "cluster/cluster.h"
+#include "cluster/horizon.h"
 #include "fleet/fleet.h"
 #include "jobs/api.h"
 #include "jobs/ledger.h"
@@ -26,6 +27,7 @@
     void on_peer(const NodeName& from, const wire::PeerMessage& m);
     const Model& model() const { return model_; }
     const Cluster& cluster() const { return cluster_; }
+    const Horizon& horizon() const { return horizon_; }
 
   private:
     void beat();
@@ -47,6 +49,7 @@
     StoreClient store_;
     CloudClient cloud_;
     Cluster cluster_;
+    Horizon horizon_;
     Ledger ledger_;
     Fleet fleet_;
     JobsApi api_;
--- a/src/cluster/cluster.cpp
+++ b/src/cluster/cluster.cpp
@@ -17,7 +17,7 @@
 
 void Cluster::start() {
     acquire_session();
-    load("", {});
+    load("", {}, env_.now());
     review();
     watch_presence();
 }
@@ -158,18 +158,18 @@
     });
 }
 
-void Cluster::load(const std::string& after, Revision from) {
+void Cluster::load(const std::string& after, Revision from, Mono begun) {
     loading_ = true;
-    store_.list("z/", after, [this, from](ListResult r) {
+    store_.list("z/", after, [this, from, begun](ListResult r) {
         if (r.outcome != Outcome::ok) {
             pending_.clear();
-            env_.after(millis(250), [this] { load("", {}); });
+            env_.after(millis(250), [this] { load("", {}, env_.now()); });
             return;
         }
         // Pages of a list are of different moments; the watch goes on from the first one's.
         Revision start = from == Revision{} ? r.revision : from;
         for (auto& i : r.items) pending_.push_back(std::move(i));
-        if (r.more && !pending_.empty()) return load(pending_.back().key, start);
+        if (r.more && !pending_.empty()) return load(pending_.back().key, start, begun);
         // What this process already read under a newer revision stays; keys deleted meanwhile must not linger.
         model_.clear();
         for (const auto& i : pending_) model_.apply(i);
@@ -182,6 +182,7 @@
         log::info("event=state_read revision={} jobs={}", start.v, model_.jobs().size());
         ++watch_run_;
         stale_ = watch_now_ = false;
+        if (on_read) on_read(begun);
         watch();
         changed();
         if (first && on_synced) on_synced();
@@ -192,11 +193,11 @@
     log::warn("event=state_read_anew revision={}", model_.seen.v);
     watch_fails_ = 0;
     stale_ = true;
-    load("", {});
+    load("", {}, env_.now());
 }
 
 void Cluster::watch() {
-    store_.watch("z/", model_.seen, stale_, [this, run = watch_run_](ListResult r) {
+    store_.watch("z/", model_.seen, stale_, [this, run = watch_run_, sent = env_.now()](ListResult r) {
         if (run != watch_run_) return;
         const bool asked_anew = std::exchange(watch_now_, false) && stale_;
         if (r.too_old) return reload();
@@ -211,6 +212,7 @@
         watch_fails_ = 0;
         for (const auto& i : r.items) model_.apply(i);
         model_.seen = std::max(model_.seen, r.revision);
+        if (on_read) on_read(sent);
         if (asked_anew) stale_ = false;
         // A pause gathers changes into one answer. It keeps the watches of all nodes together to a quarter of the request
         // budget: at a fixed 30 ms those of seven nodes took most of it.
--- a/src/cluster/cluster.h
+++ b/src/cluster/cluster.h
@@ -49,13 +49,15 @@
 
     std::function<void(std::uint32_t part)> on_part_gained;
     std::function<void()> on_synced;
+    // What the state service held when it was asked, at `sent`, is in the model.
+    std::function<void(Mono sent)> on_read;
 
   private:
     void acquire_session();
     void request_grant();
     void register_node();
     void renew();
-    void load(const std::string& after, Revision from);
+    void load(const std::string& after, Revision from, Mono begun);
     void watch();
     void watch_presence();
     void reload();
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -20,8 +20,8 @@
 Duration surely_lapsed(double lease_s) { return seconds(lease_s * 1.002) + millis(100); }
 }  // namespace
 
-Fleet::Fleet(Env& env, const Settings& settings, Model& model, Cluster& cluster, Ledger& ledger, SendPeer send)
-    : env_(env), settings_(settings), model_(model), cluster_(cluster), ledger_(ledger), send_(std::move(send)) {}
+Fleet::Fleet(Env& env, const Settings& settings, Model& model, Cluster& cluster, const Horizon& horizon, Ledger& ledger, SendPeer send)
+    : env_(env), settings_(settings), model_(model), cluster_(cluster), horizon_(horizon), ledger_(ledger), send_(std::move(send)) {}
 
 void Fleet::start() { sweep(); }
 
@@ -43,7 +43,7 @@
     ++counts_.check_ins;
     if (stale) {
         ++counts_.stale;
-        return reply({200, wire::orders_body(*mine, {}), -1});
+        return renew(r, *mine, halts_of_cancelled(r), reply);
     }
     Machine& m = machines_[r.machine];
     if (m.first_known == Mono{}) m.first_known = env_.now();
@@ -54,15 +54,15 @@
     // An older check-in still held: its worker has moved on, and no order in its answer would be executed.
     if (auto old = held_.find(r.machine); old != held_.end()) {
         env_.cancel(old->second.timer);
-        Reply abandoned = std::move(old->second.reply);
+        const Held abandoned = std::move(old->second);
         held_.erase(old);
-        abandoned({200, wire::orders_body(*mine, {}), -1});
+        renew(abandoned.report, *mine, halts_of_cancelled(abandoned.report), abandoned.reply);
     }
     take_report(m, r, *mine, true);
     auto orders = orders_for(r.machine, m, r, *mine);
     m.answered_seq = r.age.seq;
     if (!m.ended.empty() || r.tasks.empty()) tell_freed(r.machine, m);
-    if (!orders.empty() || !worth_waiting(r.machine, m, r)) return reply({200, wire::orders_body(*mine, orders), -1});
+    if (!orders.empty() || !worth_waiting(r.machine, m, r)) return renew(r, *mine, std::move(orders), reply);
     // What it reports (an end, or room) will bring orders in a moment, and its next check-in is a report interval
     // away: short tasks lost a tenth of their machine to that wait.
     held_[r.machine] = {r, reply, env_.after(hold_answer, [this, id = r.machine] { answer(id); })};
@@ -88,7 +88,59 @@
     std::vector<wire::Order> orders;
     // A newer message, by direct command, may have come meanwhile: then this report's news is old.
     if (h.report.age == m->second.age) orders = orders_for(id, m->second, h.report, *mine);
-    h.reply({200, wire::orders_body(*mine, orders), -1});
+    else orders = halts_of_cancelled(h.report);
+    renew(h.report, *mine, std::move(orders), h.reply);
+}
+
+// The one place that answers 200, and so renews a lease. Each such answer halts whatever is known to be cancelled; and
+// where a cancellation may have been told for so long that a lease renewed now would outlast `cancel_s`, there is none: the
+// worker tries the others, and its lease runs out. Refused by the state service alone, an owner went on renewing the
+// leases of tasks whose cancellation it never heard of.
+void Fleet::renew(const wire::Report& r, Term mine, std::vector<wire::Order> orders, const Reply& reply) {
+    if (!horizon_.may_renew()) {
+        ++counts_.not_renewed;
+        log::debug("event=lease_not_renewed machine={}", r.machine.v);
+        return reply({503, "{}", 1});
+    }
+    reply({200, wire::orders_body(mine, orders), -1});
+}
+
+std::vector<wire::Order> Fleet::halts_of_cancelled(const wire::Report& r) const {
+    std::vector<wire::Order> orders;
+    for (const auto& t : r.tasks)
+        if (const Job* j = model_.job(t.task.job); j != nullptr && j->cancelled && t.phase != wire::TaskPhase::ended)
+            orders.push_back({wire::Verb::halt, t.task, t.attempt, 0});
+    return orders;
+}
+
+void Fleet::on_cancelled(const JobId& id) {
+    const Job* j = model_.job(id);
+    if (j == nullptr) return;
+    for (const auto& [n, page] : j->pages)
+        for (std::size_t i = 0; i < page.tasks.size(); ++i) {
+            const TaskState& t = page.tasks[i];
+            if (t.at != TaskState::At::placed || !machines_.contains(t.machine) || !cluster_.term_of(t.machine)) continue;
+            const TaskRef ref{id, static_cast<TaskIndex>(i) + n * model_.page_size()};
+            halts_[t.machine].push_back({wire::Verb::halt, ref, t.attempt, 0});
+        }
+    send_halts();
+}
+
+// A halt of a cancelled task is right whenever it arrives; the answers to check-ins repeat it until it is heeded.
+void Fleet::send_halts() {
+    while (!halts_.empty() && halting_ < most_announcements) {
+        const auto [id, orders] = std::move(*halts_.begin());
+        halts_.erase(halts_.begin());
+        auto m = machines_.find(id);
+        const auto mine = cluster_.term_of(id);
+        if (!mine || m == machines_.end() || m->second.address.empty()) continue;
+        ++halting_;
+        env_.http(m->second.address, {"POST", "/commands", wire::orders_body(*mine, orders, m->second.age.session)}, seconds(2),
+                  [this](const HttpResponse&) {
+                      --halting_;
+                      send_halts();
+                  });
+    }
 }
 
 void Fleet::take_report(Machine& m, const wire::Report& r, Term mine, bool checkin) {
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -11,6 +11,7 @@
 
 #include "base/env.h"
 #include "cluster/cluster.h"
+#include "cluster/horizon.h"
 #include "jobs/ledger.h"
 #include "sched/logic.h"
 #include "store/model.h"
@@ -22,7 +23,7 @@
 class Fleet {
   public:
     using SendPeer = std::function<void(const NodeName&, wire::PeerMessage)>;
-    Fleet(Env& env, const Settings& settings, Model& model, Cluster& cluster, Ledger& ledger, SendPeer send);
+    Fleet(Env& env, const Settings& settings, Model& model, Cluster& cluster, const Horizon& horizon, Ledger& ledger, SendPeer send);
     void start();
 
     void check_in(const wire::Report& r, const Reply& reply);
@@ -37,12 +38,14 @@
     void on_part_gained(std::uint32_t part);
     std::vector<wire::MachineBeat> beats();
     struct Counts {
-        std::uint64_t check_ins = 0, stale = 0, asks = 0, offers = 0, rooms = 0;
+        std::uint64_t check_ins = 0, stale = 0, not_renewed = 0, asks = 0, offers = 0, rooms = 0;
     };
     const Counts& counts() const { return counts_; }
     // What is placed on a machine changed; a job did.
     void on_placed(const MachineId& id);
     void on_jobs() { ++room_epoch_; }
+    // Halts what runs of a cancelled job on our machines, without waiting for their next check-ins.
+    void on_cancelled(const JobId& id);
     // Stops a task, with time to save if it can.
     void on_preempt(const wire::Preempt& m);
 
@@ -117,6 +120,9 @@
     void let_go(const wire::RoundId& round);
     void start(const TaskRef& ref, const MachineId& id, const Room& room);
     void started(const TaskRef& ref);
+    void renew(const wire::Report& r, Term mine, std::vector<wire::Order> orders, const Reply& reply);
+    std::vector<wire::Order> halts_of_cancelled(const wire::Report& r) const;
+    void send_halts();
     void answer(const MachineId& id);
     void answer_soon(const MachineId& id);
     bool worth_waiting(const MachineId& id, const Machine& m, const wire::Report& r) const;
@@ -140,6 +146,7 @@
     const Settings& settings_;
     Model& model_;
     Cluster& cluster_;
+    const Horizon& horizon_;
     Ledger& ledger_;
     SendPeer send_;
     std::unordered_map<MachineId, Machine> machines_;
@@ -149,6 +156,8 @@
     std::unordered_map<MachineId, Held> held_;
     std::map<TaskRef, MachineId> starting_;
     std::map<std::string, Room> freed_;  // by type, to be told in a moment
+    std::map<MachineId, std::vector<wire::Order>> halts_;  // of cancelled jobs, to be sent straight to their machines
+    std::size_t halting_ = 0;
     std::map<std::pair<TaskRef, Attempt>, Mono> stops_;       // asked to stop
     std::map<JobId, std::set<MachineId>> job_errors_;
     std::map<MachineId, sched::Reservation> reserved_;  // by the supplier's latest word
--- a/src/jobs/api.cpp
+++ b/src/jobs/api.cpp
@@ -215,6 +215,7 @@
             if (r.outcome == Outcome::ok) {
                 model_.apply({keys::job(id), txn.writes[0].value, r.revision});
                 log::info("event=job_cancelled job={} revision={}", id.v, r.revision.v);
+                if (on_cancelled) on_cancelled(id);
                 return reply({200, wire::job_answer(id, wire::Phase::cancelled), -1});
             }
             // Done meanwhile, or unknown: look again rather than guess.
--- a/src/jobs/api.h
+++ b/src/jobs/api.h
@@ -34,6 +34,7 @@
     // Handles paths below /api/jobs; false when the path is none of them.
     bool handle(const HttpRequest& req, const Reply& reply);
     bool ready() const;
+    std::function<void(const JobId&)> on_cancelled;  // committed, and about to be told
 
   private:
     struct Found {
--- a/src/store/model.cpp
+++ b/src/store/model.cpp
@@ -20,6 +20,7 @@
 namespace {
 // The longest entry of a placed task: index, attempt, machine and zone with their punctuation.
 constexpr std::size_t entry_bytes = 40, page_overhead = 400;
+constexpr std::size_t most_called_off = 20'000;
 constexpr std::size_t most_image_holders = 8192, most_images = 48;
 }  // namespace
 
@@ -231,6 +232,7 @@
 
 void Model::apply_job(const JobId& id, const Item& item) {
     if (!item.value) {
+        called_off_.erase(id);
         auto it = jobs_.find(id);
         if (it == jobs_.end()) return;
         for (auto& [n, p] : it->second.pages) {
@@ -252,9 +254,23 @@
     decoded->pages = std::move(j.pages);
     decoded->placed = j.placed;
     decoded->done = j.done;
+    const bool was = j.cancelled;
     j = std::move(*decoded);
     j.version = item.version;
+    if (j.cancelled) called_off_.insert(id);
+    else j.cancelled = called_off_.contains(id);
     if (on_job) on_job(id);
+    if (j.cancelled && !was && on_cancelled) on_cancelled(id);
+}
+
+void Model::call_off(const JobId& id) {
+    if (!called_off_.insert(id).second) return;
+    if (called_off_.size() > most_called_off) std::erase_if(called_off_, [&](const auto& c) { return !jobs_.contains(c); });
+    auto j = jobs_.find(id);
+    if (j == jobs_.end() || j->second.cancelled) return;
+    j->second.cancelled = true;
+    if (on_job) on_job(id);
+    if (on_cancelled) on_cancelled(id);
 }
 
 void Model::apply_page(const std::string& rest, const Item& item) {
--- a/src/store/model.h
+++ b/src/store/model.h
@@ -70,6 +70,9 @@
     // Takes over what was read under `key`; older than what is known: ignored.
     void apply(const Item& item);
     void clear();
+    // A job is known to be cancelled, though this node has not read it: a controller that told its user says so. What is
+    // marked stays so, whatever older versions of the record come.
+    void call_off(const JobId& id);
 
     const Job* job(const JobId& id) const;
     const std::unordered_map<JobId, Job>& jobs() const { return jobs_; }
@@ -119,6 +122,7 @@
 
     std::function<void(const JobId&)> on_job;  // a job or one of its pages changed
     std::function<void(const MachineId&)> on_placed;  // what is placed on a machine changed
+    std::function<void(const JobId&)> on_cancelled;   // a job became known to be cancelled
     std::function<void()> on_jobs;   // a job came or went
     std::function<void()> on_cluster;          // nodes, parts or supplier changed
     bool work_waits() const;
@@ -142,6 +146,7 @@
     std::unordered_map<std::string, Revision> versions_;  // of deleted keys too, until `seen` passes them
     std::unordered_map<std::string, bool> present_;
     std::unordered_map<JobId, Job> jobs_;
+    std::set<JobId> called_off_;  // not cleared: a list read just now may be older than a peer's word
     std::unordered_map<MachineId, std::set<TaskRef>> by_machine_;
     std::unordered_map<MachineId, Images> images_;
     std::vector<Part> parts_;
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -8,7 +8,7 @@
 namespace {
 constexpr Duration normal_timeout = std::chrono::milliseconds(1500);
 constexpr Duration queue_limit = std::chrono::milliseconds(2500);
-constexpr Duration watch_hold = std::chrono::seconds(10);
+constexpr Duration watch_hold = std::chrono::seconds(2);  // an answer says that nothing was missed: see Horizon
 constexpr std::size_t most_queued = 400;
 constexpr double user_read_share = 0.25;  // of the requests
 constexpr double writes_kept = 1.0;       // not spent on starts and ends, so that a submission need not wait for them
--- a/src/wire/peer.cpp
+++ b/src/wire/peer.cpp
@@ -114,7 +114,11 @@
         a(m.id); a(m.type); a(m.zone); a(m.address); a(m.spot); a(m.usable); a(m.silent);
         a(m.session); a(m.busy_tasks); a(m.idle_ms); a(m.silent_ms);
     }
-    else if constexpr (std::is_same_v<T, Beat>) { a(m.store_ok); a(m.seen); a(m.write_demand); a(m.machines); }
+    else if constexpr (std::is_same_v<T, Vouch>) {
+        a(m.life); a(m.stamp); a(m.echo_life); a(m.echo); a(m.behind); a(m.whole); a(m.cancelled);
+    }
+    else if constexpr (std::is_same_v<T, CalledOff>) { a(m.job); }
+    else if constexpr (std::is_same_v<T, Beat>) { a(m.vouch); a(m.store_ok); a(m.seen); a(m.write_demand); a(m.machines); }
     else if constexpr (std::is_same_v<T, Ask>) {
         a(m.round); a(m.job); a(m.gatherer); a(m.scorers); a(m.need); a(m.image); a(m.rank); a(m.tasks);
     }
--- a/src/wire/peer.h
+++ b/src/wire/peer.h
@@ -10,7 +10,7 @@
 
 namespace zd::wire {
 
-constexpr std::uint8_t peer_version = 3;
+constexpr std::uint8_t peer_version = 4;
 constexpr std::size_t max_peer_frame = 256 * 1024;
 constexpr std::size_t peer_header = 4;  // length of what follows, as u32
 
@@ -34,7 +34,17 @@
     std::uint32_t busy_tasks = 0;  // committed to it, held for offers or reported by it
     std::uint32_t idle_ms = 0, silent_ms = 0;
 };
+// What a controller knows of cancellations (cluster/horizon). Stamps are the steady clock of whoever first sent them.
+struct Vouch {
+    std::uint64_t life = 0;   // of the sending process
+    std::uint64_t stamp = 0;  // when this was sent
+    std::uint64_t echo_life = 0, echo = 0;  // the receiver's newest stamp that came here
+    bool behind = false;      // the sender has learnt nothing for a while: tell it what you know
+    bool whole = false;       // `cancelled` names all unfinished jobs that the sender knows to be cancelled
+    std::vector<JobId> cancelled;
+};
 struct Beat {
+    Vouch vouch;
     bool store_ok = false;
     std::uint64_t seen = 0;  // revision this node has read up to
     std::uint32_t write_demand = 0;  // how much this node has to commit, against its peers
@@ -153,8 +163,12 @@
     std::string type;
     Room room;
 };
+// Whoever confirms a cancellation to all: its tasks are to be halted at once, not when the watch brings it.
+struct CalledOff {
+    JobId job;
+};
 using PeerMessage = std::variant<Hello, Beat, Ask, Offers, Verdict, Unplaced, Drain, Drained, Gone, Reserve, Preempt,
-                                 Sighted, Settle, Settled, Freed>;
+                                 Sighted, Settle, Settled, Freed, CalledOff>;
 
 // The whole frame, length included.
 std::string encode(const PeerMessage& m);
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -1,7 +1,7 @@
 // Stories of the whole fleet: many times as many machines, and what befalls hundreds of them at once.
 #include <gtest/gtest.h>
 
-#include "world.h"
+#include "story.h"
 
 namespace zdtest {
 namespace {
@@ -13,12 +13,6 @@
 constexpr int shrink = 1;
 #endif
 
-std::string id_of(int n) {
-    char b[32];
-    std::snprintf(b, sizeof b, "job-%06d", n);
-    return b;
-}
-
 // Budgets, leases and limits as a fleet of that size has them.
 World::Options fleet_options(int nodes, int machines, std::uint64_t seed = 1) {
     World::Options o;
--- a/tests/units_test.cpp
+++ b/tests/units_test.cpp
@@ -98,7 +98,7 @@
 // Truncated, changed and random bytes are refused or decode to something: never more than that.
 TEST(PeerMessages, SurviveMutation) {
     std::mt19937_64 rng(5);
-    wire::Beat beat{true, 9, 3, {{MachineId("host-1"), "t", "z", "1.2.3.4:5", true, true, false, 3, 1, 2, 3}}};
+    wire::Beat beat{{5, 6, 7, 8, true, true, {JobId("job-1"), JobId("job-22")}}, true, 9, 3, {{MachineId("host-1"), "t", "z", "1.2.3.4:5", true, true, false, 3, 1, 2, 3}}};
     wire::Offers offers{{NodeName("n"), 1}, JobId("job-2"), NodeName("m"), 3, true, {0, 1}, {{MachineId("host-2"), "z", -5}}};
     wire::Settle settle{JobId("job-3"), {{0, 7, 2, MachineId("host-3"), "z", 41, 9}, {2, 8, 1, MachineId("host-4"), "", 41, 10}}};
     wire::Settled settled{{{9, true}, {10, false}}, {{"z/t/job-3/0", R"({"p":[[7,2,"host-3"]]})", 42}, {"z/j/job-3", "", 42}}};
