A report that comes after more than a lease proves nothing by itself

A machine of which nothing came for over a lease in one session counts as hearing us only from its next report on.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -47,6 +47,10 @@
     }
     Machine& m = machines_[r.machine];
     if (m.first_known == Mono{}) m.first_known = env_.now();
+    // Nothing of this session came for longer than a lease: what comes now was held on its way, or its sender was told our term
+    // by others' means. Either way this one report does not prove that it hears us; the next does.
+    const bool overdue = m.term_of_proof == *mine && m.reported && r.age.session == m.age.session &&
+                         env_.now() - m.last_heard > surely_lapsed(settings_.lease_s);
     m.last_heard = env_.now();
     hearing_[model_.part_of(r.machine)].heard = env_.now();
     log::debug("event=check_in machine={} session={} seq={} shown={} term={} hears={} answered={} at={:.3f}", r.machine.v, r.age.session,
@@ -58,7 +62,9 @@
         held_.erase(old);
         renew(abandoned.report, *mine, halts_of_cancelled(abandoned.report), abandoned.reply);
     }
+    if (overdue) m.answered_seq = 0;
     take_report(m, r, *mine, true);
+    if (overdue) m.hears = false;
     auto orders = orders_for(r.machine, m, r, *mine);
     m.answered_seq = r.age.seq;
     if (!m.ended.empty() || r.tasks.empty()) tell_freed(r.machine, m);
