Questions share their reads of the state service

Cause, by counting on the karaoke platform: 758 unfinished jobs are asked about 150 times a second, and the state service takes 150 requests a second for everything; 4,421 questions of the first 70 s got no answer. One read through the watch now answers all questions that were asked before it was sent (Fleet.MoreQuestionsThanRequests).

--- a/src/cluster/cluster.cpp
+++ b/src/cluster/cluster.cpp
@@ -7,6 +7,10 @@
 #include "base/log.h"
 
 namespace zd {
+namespace {
+constexpr Duration read_limit = std::chrono::milliseconds(1700);  // users wait for 2 s
+constexpr std::size_t most_reads = 2000;
+}  // namespace
 
 Cluster::Cluster(Env& env, const Settings& settings, StoreClient& store, Model& model)
     : env_(env), settings_(settings), store_(store), model_(model), all_(settings.all_nodes()),
@@ -27,6 +31,11 @@
     const bool stood_still = awake_ != Mono{} && env_.now() - awake_ >= stall_limit;
     awake_ = env_.now();
     if (stood_still) log::warn("event=stood_still");
+    while (!reads_.empty() && env_.now() - reads_.front().asked > read_limit) {
+        auto done = std::move(reads_.front().done);
+        reads_.pop_front();
+        done(false);
+    }
     if (!synced_ || loading_) return;
     if (!store_.reachable() || stood_still) {
         stale_ = true;
@@ -196,9 +205,20 @@
     load("", {}, env_.now());
 }
 
+// A pause gathers changes into one answer. It keeps the watches of all nodes together to a quarter of the request budget:
+// at a fixed 30 ms those of seven nodes took most of it.
+Duration Cluster::watch_pause() const {
+    const double pause = static_cast<double>(std::max<std::size_t>(1, model_.nodes().size())) / (settings_.state_rps * 0.25);
+    return std::clamp(seconds(pause), millis(30), millis(500));
+}
+
 void Cluster::watch() {
-    store_.watch("z/", model_.seen, stale_, [this, run = watch_run_, sent = env_.now()](ListResult r) {
+    const bool asked_for = !reads_.empty();
+    watch_open_ = true;
+    store_.watch("z/", model_.seen, stale_ || asked_for,
+                 [this, run = watch_run_, sent = env_.now(), asked_for, before = next_read_](ListResult r) {
         if (run != watch_run_) return;
+        watch_open_ = false;
         const bool asked_anew = std::exchange(watch_now_, false) && stale_;
         if (r.too_old) return reload();
         if (r.outcome != Outcome::ok) {
@@ -214,16 +234,51 @@
         model_.seen = std::max(model_.seen, r.revision);
         if (on_read) on_read(sent);
         if (asked_anew) stale_ = false;
-        // A pause gathers changes into one answer. It keeps the watches of all nodes together to a quarter of the request
-        // budget: at a fixed 30 ms those of seven nodes took most of it.
-        const double pause = static_cast<double>(std::max<std::size_t>(1, model_.nodes().size())) /
-                             (settings_.state_rps * 0.25);
-        env_.after(r.items.empty() ? millis(1) : std::clamp(seconds(pause), millis(30), millis(500)), [this, run] {
+        answer_reads(before);
+        env_.after(r.items.empty() && !asked_for ? millis(1) : watch_pause(), [this, run] {
             if (run == watch_run_) watch();
         });
     });
 }
 
+// Asked one by one, the questions of some hundred users took the whole request budget of the state service, and most of them
+// were never answered.
+void Cluster::read_through(std::function<void(bool)> done) {
+    if (!in_touch() || reads_.size() >= most_reads) {
+        env_.after(Duration(0), [done = std::move(done)] { done(false); });
+        return;
+    }
+    reads_.push_back({next_read_++, env_.now(), std::move(done)});
+    // The next watch is sent soon and answered at once; one that is open already may hang, and tells nothing of now.
+    if (watch_open_) read_soon();
+}
+
+void Cluster::read_soon() {
+    if (std::exchange(read_armed_, true)) return;
+    env_.after(std::max(Duration(millis(10)), last_read_ + watch_pause() - env_.now()), [this] {
+        read_armed_ = false;
+        if (reads_.empty() || loading_ || !watch_open_) return;
+        last_read_ = env_.now();
+        store_.watch("z/", model_.seen, true, [this, run = watch_run_, sent = env_.now(), before = next_read_](ListResult r) {
+            if (run == watch_run_ && r.outcome == Outcome::ok && !r.too_old) {
+                for (const auto& i : r.items) model_.apply(i);
+                model_.seen = std::max(model_.seen, r.revision);
+                if (on_read) on_read(sent);
+                answer_reads(before);
+            }
+            if (!reads_.empty()) read_soon();
+        });
+    });
+}
+
+void Cluster::answer_reads(std::uint64_t before) {
+    while (!reads_.empty() && reads_.front().number < before) {
+        auto done = std::move(reads_.front().done);
+        reads_.pop_front();
+        done(true);
+    }
+}
+
 void Cluster::changed() {
     if (!synced_) return;
     const double even = 1.0 / static_cast<double>(std::max<std::size_t>(1, model_.nodes().size()));
--- a/src/cluster/cluster.h
+++ b/src/cluster/cluster.h
@@ -1,5 +1,7 @@
 // Membership, part map, terms and the supplier's election, all through the state service.
 #pragma once
+#include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -47,6 +49,10 @@
     // leases have passed, or when the other is gone; a process that starts anew knows nothing of it.
     void hand_over(std::uint32_t part);
 
+    // Calls back, from the loop, when the model holds all that was committed before this call: one read of the state service
+    // answers all who asked before it was sent. False when none was answered in time.
+    void read_through(std::function<void(bool fresh)> done);
+
     std::function<void(std::uint32_t part)> on_part_gained;
     std::function<void()> on_synced;
     // What the state service held when it was asked, at `sent`, is in the model.
@@ -60,6 +66,9 @@
     void load(const std::string& after, Revision from, Mono begun);
     void watch();
     void watch_presence();
+    void read_soon();
+    void answer_reads(std::uint64_t before);
+    Duration watch_pause() const;
     void reload();
     void changed();
     void review();
@@ -78,7 +87,15 @@
     Mono awake_{};
     std::uint64_t watch_run_ = 0;
     int watch_fails_ = 0;
-    bool stale_ = false, watch_now_ = false;
+    bool stale_ = false, watch_now_ = false, watch_open_ = false, read_armed_ = false;
+    struct Read {
+        std::uint64_t number = 0;
+        Mono asked;
+        std::function<void(bool)> done;
+    };
+    std::deque<Read> reads_;  // oldest first
+    std::uint64_t next_read_ = 0;
+    Mono last_read_{};
     double write_share_ = 0;  // 0: one by the number of nodes
     std::map<std::uint32_t, Term> claims_;  // won by this process
     std::set<std::uint32_t> claiming_;
--- a/src/jobs/api.cpp
+++ b/src/jobs/api.cpp
@@ -7,7 +7,7 @@
 
 namespace zd {
 namespace {
-constexpr std::size_t most_open = 200;  // requests being worked on; more are told to come back
+constexpr std::size_t most_open = 1000;  // requests being worked on; more are told to come back
 constexpr Duration submit_limit = std::chrono::milliseconds(3500);
 }  // namespace
 
@@ -76,7 +76,7 @@
     };
     if (id.empty()) submit(req, counted);
     else if (cancelling) cancel(id, env_.now() + submit_limit, counted);
-    else look_up(id, [this, id, counted](Found f) { counted(answer(id, f, 200)); });
+    else poll(id, counted);
     return true;
 }
 
@@ -100,18 +100,38 @@
             return done(std::move(f));
         }
         if (g.outcome != Outcome::not_found) return done(std::move(f));
-        store_.get(keys::final_state(id), Urgency::user, [this, id, done](GetResult e) {
-            Found found;
-            if (e.outcome == Outcome::ok) {
-                found.what = Found::What::final_state;
-                found.end.phase = e.value.value("s", "") == "done" ? wire::Phase::done : wire::Phase::cancelled;
-                found.end.tasks = e.value.value("n", std::int64_t{0});
-                finals_.put(id, found.end);
-            } else if (e.outcome == Outcome::not_found) {
-                found.what = Found::What::none;
-            }
-            done(std::move(found));
-        });
+        look_up_final(id, done);
+    });
+}
+
+void JobsApi::look_up_final(const JobId& id, OnFound done) {
+    store_.get(keys::final_state(id), Urgency::user, [this, id, done](GetResult e) {
+        Found found;
+        if (e.outcome == Outcome::ok) {
+            found.what = Found::What::final_state;
+            found.end.phase = e.value.value("s", "") == "done" ? wire::Phase::done : wire::Phase::cancelled;
+            found.end.tasks = e.value.value("n", std::int64_t{0});
+            finals_.put(id, found.end);
+        } else if (e.outcome == Outcome::not_found) {
+            found.what = Found::What::none;
+        }
+        done(std::move(found));
+    });
+}
+
+// Read through, together with others: what the model holds after a read that was sent later than the question came is no older
+// than what any node has told of the job. One that is not there then is over, or was never accepted: its final record tells.
+void JobsApi::poll(const JobId& id, Reply reply) {
+    cluster_.read_through([this, id, reply = std::move(reply)](bool fresh) {
+        if (!fresh) return reply(later(1));
+        Found f;
+        if (const Job* j = model_.job(id); j != nullptr) {
+            f.what = Found::What::live;
+            f.job.cancelled = j->cancelled;
+            return reply(answer(id, f, 200));
+        }
+        if (model_.version(keys::job(id)) != Revision{}) return reply(later(1));  // there, and unreadable
+        look_up_final(id, [this, id, reply](Found found) { reply(answer(id, found, 200)); });
     });
 }
 
--- a/src/jobs/api.h
+++ b/src/jobs/api.h
@@ -44,6 +44,8 @@
     };
     using OnFound = std::function<void(Found)>;
     void look_up(const JobId& id, OnFound done);
+    void look_up_final(const JobId& id, OnFound done);
+    void poll(const JobId& id, Reply reply);
     void submit(const HttpRequest& req, const Reply& reply);
     void accept(std::shared_ptr<Job> j, Mono until, Reply reply);
     void cancel(const JobId& id, Mono until, Reply reply);
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -224,6 +224,39 @@
     }
 }
 
+// More questions than the state service takes requests: one read answers all who asked before it, and none is left unanswered.
+TEST(Fleet, MoreQuestionsThanRequests) {
+    World::Options o;
+    o.budgets = true;
+    o.state_rps = 40;
+    o.write_rps = 40;
+    World w(o);
+    w.run(3);
+    std::vector<std::string> ids;
+    for (int i = 0; i < 60; ++i) {
+        ids.push_back(id_of(i));
+        w.submit(w.job(ids.back(), 1, 1, 500));
+    }
+    ASSERT_TRUE(w.run_until([&] { return std::all_of(ids.begin(), ids.end(), [&](const auto& id) { return w.accepted(id); }); }, 40));
+    int asked = 0, answered = 0;
+    double slowest = 0;
+    for (int step = 0; step < 100; ++step) {
+        for (int i = 0; i < 12; ++i) {
+            const std::string id = ids[w.rng() % ids.size()];
+            ++asked;
+            w.node(i % 3).on_request({"GET", "/api/jobs/" + id, ""}, [&, at = w.now()](const HttpResponse& r) {
+                if (r.status != 200) return;
+                ++answered;
+                slowest = std::max(slowest, w.now() - at);
+            });
+        }
+        w.run(0.1);
+    }
+    w.run(2);
+    EXPECT_EQ(answered, asked);
+    EXPECT_LT(slowest, 1.8);
+}
+
 // Five controllers, three zones, sixteen teams and 3,600 machines, with as much work at the start and as much coming as such a
 // platform has: arrays of fifty, and gangs of up to sixteen that must be in one zone.
 World::Options large_options() {
