Ends no longer write the team's record

Cause: on the karaoke platform 16 limited teams share 50 writes a second, about 40 starts and 40 ends a second, and each end wrote its page and the team's record.

--- a/src/jobs/ledger.cpp
+++ b/src/jobs/ledger.cpp
@@ -305,6 +305,7 @@
     Draft d;
     std::map<std::uint32_t, Term> parts;
     std::optional<TeamName> team;
+    bool starts = false;
     TeamUse use;
     std::size_t bytes = 0;
     const std::size_t most_conditions = 4 * std::size_t{settings_.txn_ops};
@@ -347,6 +348,7 @@
                 parts.emplace(part, *term);
                 if (op.event == TaskEvent::place && j->spec.one_zone) chosen[key.job] = op.zone;
                 if (op.event != TaskEvent::place) d.urgent = true;
+                else starts = true;
                 used.push_back(std::move(op));
                 continue;
             }
@@ -388,7 +390,8 @@
     for (auto& [key, ops] : later) lane.ops[key] = std::move(ops);
     if (d.taken.empty()) return d;
     for (const auto& [k, term] : parts) d.txn.conditions.push_back({keys::part(k), term});
-    if (team) {
+    // Ends leave the record alone (Model::team): written with each of them, it took half of all writes.
+    if (team && starts) {
         d.txn.conditions.push_back({keys::team(*team), use.version});
         d.txn.writes.push_back({keys::team(*team), Json{{"c", use.cpu}, {"g", use.gpu}}, std::nullopt});
     }
@@ -407,6 +410,8 @@
         if (w.key.rfind("z/j/", 0) == 0) model_.apply({w.key, w.value, r});
     for (const auto& w : txn.writes)
         if (w.key.rfind("z/", 0) == 0) model_.apply({w.key, w.value, r});
+    for (const auto& w : txn.writes)
+        if (w.key.rfind(team_prefix, 0) == 0) model_.own_start(TeamName(w.key.substr(std::string(team_prefix).size())), r);
 }
 
 void Ledger::flush(const std::string& name, std::size_t most_writes) {
--- a/src/jobs/ledger.h
+++ b/src/jobs/ledger.h
@@ -105,6 +105,7 @@
     bool apply(const Job& j, Op& op, std::vector<TaskState>& tasks, std::uint32_t page, TeamUse& use);
     void refresh(const std::string& lane, std::vector<std::string> keys);
     static std::vector<std::string> keys_of(const Txn& txn);
+    static constexpr const char* team_prefix = "z/q/";
     void adopt(const Txn& txn, Revision r);
     Env& env_;
     const Settings& settings_;
--- a/src/store/model.h
+++ b/src/store/model.h
@@ -81,7 +81,12 @@
     const std::unordered_map<MachineId, std::set<TaskRef>>& machines() const { return by_machine_; }
     const std::vector<Part>& parts() const { return parts_; }
     const std::map<NodeName, Revision>& nodes() const { return nodes_; }
+    // What a team's tasks take: never less than what is on machines, so that a start judged by it, on condition of the
+    // record's version, keeps the limit. The record is changed by starts alone; where all that came before its version is
+    // known here, the tasks placed are counted instead, and what has ended since is free.
     TeamUse team(const TeamName& t) const;
+    // The record's version is of a commit of ours, whose pages are in the model as well.
+    void own_start(const TeamName& t, Revision r) { own_starts_[t] = r; }
     const Team* team_settings(const TeamName& t) const;
     const NodeName& supplier() const { return supplier_; }
     Revision supplier_version() const { return version("z/s"); }
@@ -159,6 +164,8 @@
     std::vector<Part> parts_;
     std::map<NodeName, Revision> nodes_;
     std::map<TeamName, TeamUse> teams_;
+    std::map<TeamName, Room> placed_by_team_;
+    std::map<TeamName, Revision> own_starts_;
     NodeName supplier_;
     std::vector<wire::MachineType> types_;
     std::set<std::string> orphans_;
