--- a/src/jobs/ledger.cpp
+++ b/src/jobs/ledger.cpp
@@ -11,7 +11,7 @@
 constexpr Duration gather_places = std::chrono::milliseconds(20);
 constexpr Duration gather_releases = std::chrono::milliseconds(40);
 constexpr Duration gather_ends = std::chrono::milliseconds(250);  // a machine's room is free before that
-constexpr Duration gather_ends_scarce = std::chrono::seconds(2);  // where writes are short: fewer for the same ends
+constexpr Duration gather_ends_scarce = std::chrono::seconds(4);  // where writes are short: fewer for the same ends
 constexpr Duration gather_sent = std::chrono::milliseconds(5);
 constexpr Duration home_limit = std::chrono::seconds(3);  // then the owner commits it itself
 constexpr std::size_t most_bytes = 48 * 1024;             // of a transaction, well below the service's 64 KiB
@@ -60,9 +60,10 @@
     return demand_;
 }
 
-std::string Ledger::lane_of(const JobId& job, std::uint32_t page) const {
+// Ends don't touch the team's record and have lanes of their own: flushed with each start of their team, they were written one by one.
+std::string Ledger::lane_of(const JobId& job, std::uint32_t page, TaskEvent event) const {
     const Job* j = model_.job(job);
-    if (j != nullptr) {
+    if (j != nullptr && event == TaskEvent::place) {
         const Team* t = model_.team_settings(j->spec.team);
         if (t != nullptr && t->limited()) return "team " + t->name.v;
     }
@@ -125,7 +126,7 @@
 void Ledger::queue(const JobId& job, Op op) {
     ++ops_;
     const std::uint32_t page = model_.page_of(op.task);
-    std::string lane = lane_of(job, page);
+    std::string lane = lane_of(job, page, op.event);
     const Job* j = model_.job(job);
     auto& ops = lanes_[lane].ops[{job, page}];
     Duration wait = op.event == TaskEvent::place ? gather_places : gather_releases;
--- a/src/jobs/ledger.h
+++ b/src/jobs/ledger.h
@@ -70,7 +70,7 @@
         std::uint32_t page = 0;
         auto operator<=>(const PageKey&) const = default;
     };
-    // Commits of one lane go one after another: those of a limited team, or else those of one page.
+    // Commits of one lane go one after another: the starts of a limited team, or else what happens on one page.
     struct Lane {
         std::map<PageKey, std::vector<Op>> ops;
         bool in_flight = false;
@@ -94,7 +94,7 @@
     void take_back();
     void answer(const JobId& job, Op& op, bool done);
     void send_results(const Txn* txn, Revision r);
-    std::string lane_of(const JobId& job, std::uint32_t page) const;
+    std::string lane_of(const JobId& job, std::uint32_t page, TaskEvent event) const;
     void schedule(const std::string& lane, Duration d);
     void arm(Mono at);
     void pump();
