--- a/tests/units_test.cpp
+++ b/tests/units_test.cpp
@@ -118,6 +118,24 @@
     EXPECT_GT(refused, 100);
 }
 
+// A job of one zone, bound to none yet, gets the zone that can take most of it; a gang only one that takes it whole.
+TEST(Choice, TheZoneThatTakesMost) {
+    std::mt19937_64 rng(1);
+    auto offer = [](const char* m, const char* z, std::int64_t score) {
+        return sched::ScoredOffer{{MachineId(m), z, score}, NodeName("n")};
+    };
+    const std::vector<sched::ScoredOffer> offers{offer("host-1", "a", 900), offer("host-2", "b", 10), offer("host-3", "b", 20), offer("host-4", "a", 5),
+                                                 offer("host-5", "b", 1)};
+    auto yes = sched::choose(offers, {0, 1, 2}, true, std::nullopt, rng, true);
+    ASSERT_EQ(yes[NodeName("n")].size(), 3U);
+    for (const auto& a : yes[NodeName("n")]) EXPECT_TRUE(a.machine != MachineId("host-1") && a.machine != MachineId("host-4"));
+    yes = sched::choose(offers, {0, 1}, true, std::nullopt, rng, true);  // both zones can: the better scores
+    ASSERT_EQ(yes[NodeName("n")].size(), 2U);
+    EXPECT_EQ(yes[NodeName("n")][0].machine, MachineId("host-1"));
+    yes = sched::choose(offers, {0, 1, 2, 3}, true, std::nullopt, rng, true);
+    EXPECT_TRUE(yes.empty());
+}
+
 // What fits few types goes first there; one with a choice is not held up by it anywhere else.
 TEST(Choice, FewerTypesComeFirst) {
     wire::MachineType small{"small", {4000, 0, 32000}, 30, 0.2, 0.18, 0.07, 30, {"a"}};
