--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -376,6 +376,23 @@
     }
 }
 
+// The world itself notices a job that waits beside room: here because no controller is left to start it.
+TEST(Meeting, WaitingBesideRoomIsNoticed) {
+    World w;
+    w.run(3);
+    EXPECT_TRUE(told_all(w, submit_some(w, 1, 1, 8, 4), 60));
+    w.submit(w.job(id_of(2), 1, 1, 5));
+    ASSERT_TRUE(w.run_until([&] { return w.accepted(id_of(2)); }, 5));
+    for (int n = 0; n < 3; ++n) w.crash(n);
+    for (auto& [id, m] : w.workers()) m.tasks.clear();
+    w.checker.troubles_over = w.now();
+    w.run(80);
+    EXPECT_TRUE(w.checker.broken.empty());
+    w.run(20);
+    ASSERT_FALSE(w.checker.broken.empty());
+    EXPECT_EQ(w.checker.broken[0].rfind("waited: " + id_of(2), 0), 0U) << w.checker.broken[0];
+}
+
 // Two troubles at a time, the second within the first or just after it, by seed.
 class Pairs : public testing::TestWithParam<std::uint64_t> {};
 TEST_P(Pairs, RulesHold) {
