--- a/tests/stories_test.cpp
+++ b/tests/stories_test.cpp
@@ -378,6 +378,41 @@
     expect_rules(w);
 }
 
+// Whatever is wrong with a submission: 400, and nothing is recorded; what is known already never gets it.
+TEST(Story, BadInputIsRefusedAndLeavesNothing) {
+    World w;
+    w.run(4);
+    const Json good = w.job(id_of(1), 2);
+    std::vector<std::pair<std::string, Json>> bad;
+    for (const auto& [key, value] : good.items()) {
+        if (key == "real_s") continue;  // the world's own
+        Json null = good, typed = good;
+        null[key] = nullptr;
+        typed[key] = Json::array();
+        bad.emplace_back(key + " null", null);
+        bad.emplace_back(key + " mistyped", typed);
+    }
+    auto with = [&](const char* key, const Json& value) {
+        Json j = good;
+        j[key] = value;
+        bad.emplace_back(std::string(key) + " " + value.dump(), j);
+    };
+    for (const char* id : {"", "job-", "job-12x", "jobs-12", "job_12", "JOB-000012"}) with("uid", id);
+    for (const char* shape : {"", "gang", "Batch"}) with("shape", shape);
+    for (const char* rank : {"", "urgent"}) with("rank", rank);
+    for (const Json& n : {Json(0), Json(-1), Json(100'001), Json(1.5)}) with("shards", n);
+    for (const char* key : {"vcpus", "gpus", "ram_gb", "image_gb", "guess_s", "mark_every_s", "stow_s"}) with(key, -1.0);
+    with("breeds", Json::array({1}));
+    with("due_s", "soon");
+    for (const auto& [what, j] : bad) EXPECT_EQ(w.ask(0, "POST", "/api/jobs", j.dump()).status, 400) << what;
+    std::string infinite = good.dump();
+    const std::string cpus = "\"vcpus\":1.0";
+    ASSERT_NE(infinite.find(cpus), std::string::npos);
+    EXPECT_EQ(w.ask(0, "POST", "/api/jobs", infinite.replace(infinite.find(cpus), cpus.size(), "\"vcpus\":1e999")).status, 400);
+    w.run(1);
+    for (const auto& [k, v] : w.store.data) EXPECT_TRUE(k.rfind("z/j/", 0) != 0 && k.rfind("f/", 0) != 0) << k;
+}
+
 // Reports arrive and nothing goes back: what was written into answers did not reach the machine. It gets no more tasks,
 // those it had are found gone with its lease though it is heard all along, and in the end it is returned.
 TEST(Story, MachineThatHearsNothing) {
