--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -21,8 +21,10 @@
     raised.rlim_cur = limit.rlim_max == RLIM_INFINITY ? wanted : std::min(wanted, limit.rlim_max);
     if (::setrlimit(RLIMIT_NOFILE, &raised) == 0) limit = raised;
     if (limit.rlim_cur >= wanted) return;
-    const auto fewer = static_cast<std::uint32_t>(std::max<rlim_t>(32, limit.rlim_cur - std::min<rlim_t>(limit.rlim_cur, 64)));
-    zd::log::warn("event=few_files open_files={} max_sockets={} used={}", limit.rlim_cur, settings.max_sockets, fewer);
+    const auto fewer = static_cast<std::uint32_t>(
+        std::max<rlim_t>(32, limit.rlim_cur - std::min<rlim_t>(limit.rlim_cur, 64)));
+    zd::log::warn("event=few_files open_files={} max_sockets={} used={}", limit.rlim_cur,
+                  settings.max_sockets, fewer);
     settings.max_sockets = std::min(settings.max_sockets, fewer);
 }
 }  // namespace
@@ -65,9 +67,10 @@
         node = std::make_unique<zd::Node>(env, settings, policy);
         zd::ServerLimits limits;
         limits.connections = settings.sockets().server;
-        zd::HttpServer server(loop, settings.api_addr, limits, [&node](zd::HttpRequest req, const zd::Reply& reply) {
-            node->on_request(std::move(req), reply);
-        });
+        zd::HttpServer server(loop, settings.api_addr, limits,
+                              [&node](zd::HttpRequest req, const zd::Reply& reply) {
+                                  node->on_request(std::move(req), reply);
+                              });
         node->start();
         zd::log::info("event=started version={} api={} cluster={}", ZINCDYKE_VERSION, settings.api_addr,
                       settings.cluster_listen);
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -10,22 +10,31 @@
 constexpr Duration beat_every = std::chrono::milliseconds(500);
 constexpr Duration outage_grace = std::chrono::milliseconds(3500);
 constexpr Duration peer_quiet = std::chrono::milliseconds(1800);
-constexpr std::size_t most_in_beat = 500;     // machines; the rest follow in further messages
+constexpr std::size_t most_in_beat = 500;      // machines; the rest follow in further messages
 constexpr std::uint64_t machines_every = 2;    // beats that tell the supplier of machines
 constexpr std::uint64_t addresses_every = 20;  // and all others
-constexpr double demand_scale = 100;  // in a beat's whole number
+constexpr double demand_scale = 100;           // in a beat's whole number
 }  // namespace
 
 Node::Node(Env& env, const Settings& settings, const Policy& policy)
-    : env_(env), settings_(settings), model_(settings), store_(env, settings), cloud_(env, settings),
-      cluster_(env, settings, store_, model_), horizon_(env, settings, model_), ledger_(env, settings, store_, model_, cluster_,
-              [this](const NodeName& to, wire::PeerMessage m) { send(to, std::move(m)); },
-              [this](const NodeName& n) { return near(n); }),
+    : env_(env),
+      settings_(settings),
+      model_(settings),
+      store_(env, settings),
+      cloud_(env, settings),
+      cluster_(env, settings, store_, model_),
+      horizon_(env, settings, model_),
+      ledger_(
+          env, settings, store_, model_, cluster_,
+          [this](const NodeName& to, wire::PeerMessage m) { send(to, std::move(m)); },
+          [this](const NodeName& n) { return near(n); }),
       fleet_(env, settings, model_, cluster_, horizon_, ledger_,
              [this](const NodeName& to, wire::PeerMessage m) { send(to, std::move(m)); }),
       api_(env, settings, store_, model_, cluster_),
-      relay_(env, settings, store_, model_, cluster_, ledger_,
-             [this](const NodeName& to, wire::PeerMessage m) { send(to, std::move(m)); }, [this] { return reachable(); }),
+      relay_(
+          env, settings, store_, model_, cluster_, ledger_,
+          [this](const NodeName& to, wire::PeerMessage m) { send(to, std::move(m)); },
+          [this] { return reachable(); }),
       supply_(env, settings, policy, store_, model_, cluster_, cloud_,
               [this](const NodeName& to, wire::PeerMessage m) { send(to, std::move(m)); }) {
     model_.on_job = [this](const JobId& id) { relay_.on_job(id); };
@@ -64,12 +73,14 @@
     for (const auto& [n, p] : peers_)
         if (near(n)) heard[n] = p.write_demand;
     if (cluster_.synced()) cluster_.share_writes(demand, heard);
-    // What each machine does matters to the supplier alone; the others must know where to announce themselves, should a
-    // part fall to them. Told to all each time, the machines of a large fleet took more of the processors than the work.
+    // What each machine does matters to the supplier alone; the others must know where to announce
+    // themselves, should a part fall to them. Told to all each time, the machines of a large fleet took more
+    // of the processors than the work.
     const NodeName& supplier = model_.supplier();
     const std::uint64_t beat = beats_++;
     const bool all = beat % addresses_every == 0, to_supplier = beat % machines_every == 0;
-    wire::Beat b{{}, store_.reachable(), model_.seen.v, static_cast<std::uint32_t>(demand * demand_scale), {}};
+    wire::Beat b{
+        {}, store_.reachable(), model_.seen.v, static_cast<std::uint32_t>(demand * demand_scale), {}};
     for (const auto& s : settings_.seeds) {
         b.vouch = horizon_.vouch_for(s.node);
         send(s.node, b);
@@ -105,8 +116,8 @@
 
 bool Node::healthy() {
     if (!cluster_.synced() || !api_.ready()) return false;
-    // An outage for all reaches the nodes one by one: a node that left the list at the first sign of it, while its
-    // peers were not yet aware, would be kept off the list long after.
+    // An outage for all reaches the nodes one by one: a node that left the list at the first sign of it,
+    // while its peers were not yet aware, would be kept off the list long after.
     if (store_.lost_for() < outage_grace) return true;
     // When nobody is served, leaving the load balancer's list helps no user and only delays the return to it.
     return std::none_of(peers_.begin(), peers_.end(), [&](const auto& p) { return near(p.first); });
--- a/src/app/real_env.cpp
+++ b/src/app/real_env.cpp
@@ -7,7 +7,8 @@
 namespace {
 constexpr std::size_t mib = 1024 * 1024;
 
-// An answer in memory takes many times its length as JSON: what is too long is read in pages instead (Cluster::watch).
+// An answer in memory takes many times its length as JSON: what is too long is read in pages instead
+// (Cluster::watch).
 std::size_t most_answer(const Settings& s) {
     return std::clamp(static_cast<std::size_t>(s.memory_mb) * mib / 32, mib, 8 * mib);
 }
@@ -23,7 +24,8 @@
 }  // namespace
 
 RealEnv::RealEnv(Loop& loop, const Settings& settings, PeerLinks::Handler on_peer)
-    : loop_(loop), settings_(settings),
+    : loop_(loop),
+      settings_(settings),
       state_(loop, limits(settings.sockets().state, settings.sockets().state, 2048, most_answer(settings))),
       cloud_(loop, limits(settings.sockets().cloud, settings.sockets().cloud, 128, 4 * mib)),
       workers_(loop, limits(settings.sockets().workers, 2, 16, mib)),
--- a/src/app/real_env.h
+++ b/src/app/real_env.h
@@ -15,7 +15,9 @@
     TimerId after(Duration d, std::function<void()> fn) override { return loop_.after(d, std::move(fn)); }
     void cancel(TimerId id) override { loop_.cancel(id); }
     void http(const std::string& address, HttpRequest req, Duration timeout, Reply done) override {
-        HttpClient& client = address == settings_.state ? state_ : address == settings_.cloud ? cloud_ : workers_;
+        HttpClient& client = address == settings_.state   ? state_
+                             : address == settings_.cloud ? cloud_
+                                                          : workers_;
         client.request(address, std::move(req), timeout, std::move(done));
     }
     void send_peer(const NodeName& to, std::string message) override { peers_.send(to, std::move(message)); }
--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -17,7 +17,8 @@
 
 std::string text_at(const toml::table& root, const std::string& key, bool may_be_empty = false) {
     auto v = root.at_path(key).value<std::string>();
-    if (!root.at_path(key).is_string() || (v->empty() && !may_be_empty)) bad(key, "must be a non-empty string");
+    if (!root.at_path(key).is_string() || (v->empty() && !may_be_empty))
+        bad(key, "must be a non-empty string");
     return *v;
 }
 
--- a/src/base/types.h
+++ b/src/base/types.h
@@ -48,7 +48,7 @@
     using duration = Duration;
 };
 using Mono = std::chrono::time_point<SteadyTag, Duration>;  // this node's steady clock
-struct WallMs {                                              // time of day, milliseconds
+struct WallMs {                                             // time of day, milliseconds
     std::int64_t v = 0;
     auto operator<=>(const WallMs&) const = default;
 };
@@ -61,8 +61,18 @@
 struct Room {
     std::int64_t cpu = 0, gpu = 0, ram = 0;
     bool operator==(const Room&) const = default;
-    Room& operator+=(const Room& o) { cpu += o.cpu; gpu += o.gpu; ram += o.ram; return *this; }
-    Room& operator-=(const Room& o) { cpu -= o.cpu; gpu -= o.gpu; ram -= o.ram; return *this; }
+    Room& operator+=(const Room& o) {
+        cpu += o.cpu;
+        gpu += o.gpu;
+        ram += o.ram;
+        return *this;
+    }
+    Room& operator-=(const Room& o) {
+        cpu -= o.cpu;
+        gpu -= o.gpu;
+        ram -= o.ram;
+        return *this;
+    }
     bool fits(const Room& need) const { return need.cpu <= cpu && need.gpu <= gpu && need.ram <= ram; }
 };
 
--- a/src/cloud/cloud.cpp
+++ b/src/cloud/cloud.cpp
@@ -52,8 +52,9 @@
     });
 }
 
-void CloudClient::rent(const std::string& request, const std::string& type, const std::string& zone, bool spot,
-                       std::uint32_t count, std::function<void(Rent, std::vector<MachineId>)> done) {
+void CloudClient::rent(const std::string& request, const std::string& type, const std::string& zone,
+                       bool spot, std::uint32_t count,
+                       std::function<void(Rent, std::vector<MachineId>)> done) {
     submit({"POST", "/machines", wire::rent_body(request, type, zone, spot, count)},
            [done = std::move(done)](HttpResponse h) {
                if (h.status == 200) {
--- a/src/cluster/cluster.cpp
+++ b/src/cluster/cluster.cpp
@@ -14,7 +14,11 @@
 }  // namespace
 
 Cluster::Cluster(Env& env, const Settings& settings, StoreClient& store, Model& model)
-    : env_(env), settings_(settings), store_(store), model_(model), all_(settings.all_nodes()),
+    : env_(env),
+      settings_(settings),
+      store_(store),
+      model_(model),
+      all_(settings.all_nodes()),
       // Lease and takeover fit inside a worker's lease, so that running tasks outlive their controller.
       life_(std::clamp(seconds(settings.lease_s * 0.4), millis(1500), seconds(10))) {
     model_.on_cluster = [this] { changed(); };
@@ -95,23 +99,27 @@
 NodeName Cluster::home_of(const Job& j) const {
     const Team* t = model_.team_settings(j.spec.team);
     if (t == nullptr || !t->limited()) return relay_of(j);
-    // Dealt out in turn: by hash one of five homes had six of sixteen teams, and more to write than its part of the budget.
-    const auto turn = static_cast<std::size_t>(std::distance(settings_.teams.begin(), settings_.teams.find(j.spec.team)));
+    // Dealt out in turn: by hash one of five homes had six of sixteen teams, and more to write than its part
+    // of the budget.
+    const auto turn =
+        static_cast<std::size_t>(std::distance(settings_.teams.begin(), settings_.teams.find(j.spec.team)));
     if (const NodeName& first = all_[turn % all_.size()]; is_live(first)) return first;
     auto among = live();
     return among.empty() ? settings_.node : pick(keys::team(j.spec.team), among);
 }
 
-// Half of the write budget is split evenly, the rest by demand: with a fixed split one node's jobs waited for writes
-// while half of the budget was never used. Peers not heard from count as average ones.
+// Half of the write budget is split evenly, the rest by demand: with a fixed split one node's jobs waited for
+// writes while half of the budget was never used. Peers not heard from count as average ones.
 void Cluster::share_writes(double mine, const std::map<NodeName, double>& heard) {
     double sum = mine;
     std::size_t n = 1, silent = 0;
     for (const auto& [node, v] : model_.nodes()) {
         if (node == settings_.node) continue;
         ++n;
-        if (auto h = heard.find(node); h != heard.end()) sum += h->second;
-        else ++silent;
+        if (auto h = heard.find(node); h != heard.end())
+            sum += h->second;
+        else
+            ++silent;
     }
     sum += sum / static_cast<double>(n - silent) * static_cast<double>(silent);
     const double even = 1.0 / static_cast<double>(n);
@@ -183,7 +191,8 @@
         Revision start = from == Revision{} ? r.revision : from;
         for (auto& i : r.items) pending_.push_back(std::move(i));
         if (r.more && !pending_.empty()) return load(pending_.back().key, start, begun);
-        // What this process already read under a newer revision stays; keys deleted meanwhile must not linger.
+        // What this process already read under a newer revision stays; keys deleted meanwhile must not
+        // linger.
         model_.clear();
         for (const auto& i : pending_) model_.apply(i);
         pending_.clear();
@@ -209,10 +218,11 @@
     load("", {}, env_.now());
 }
 
-// A pause gathers changes into one answer. It keeps the watches of all nodes together to a quarter of the request budget:
-// at a fixed 30 ms those of seven nodes took most of it.
+// A pause gathers changes into one answer. It keeps the watches of all nodes together to a quarter of the
+// request budget: at a fixed 30 ms those of seven nodes took most of it.
 Duration Cluster::watch_pause() const {
-    const double pause = static_cast<double>(std::max<std::size_t>(1, model_.nodes().size())) / (settings_.state_rps * 0.25);
+    const double pause =
+        static_cast<double>(std::max<std::size_t>(1, model_.nodes().size())) / (settings_.state_rps * 0.25);
     return std::clamp(seconds(pause), millis(30), millis(500));
 }
 
@@ -221,39 +231,40 @@
     watch_open_ = true;
     store_.watch("z/", model_.seen, stale_ || asked_for,
                  [this, run = watch_run_, sent = env_.now(), asked_for, before = next_read_](ListResult r) {
-        if (run != watch_run_) return;
-        watch_open_ = false;
-        const bool asked_anew = std::exchange(watch_now_, false) && stale_;
-        if (r.too_old) return reload();
-        if (r.outcome != Outcome::ok) {
-            // Others are served: the answer may be longer than we take. Its pages are not.
-            if (store_.reachable() && ++watch_fails_ >= 3) return reload();
-            env_.after(millis(200), [this, run] {
-                if (run == watch_run_) watch();
-            });
-            return;
-        }
-        watch_fails_ = 0;
-        for (const auto& i : r.items) model_.apply(i);
-        model_.seen = std::max(model_.seen, r.revision);
-        if (on_read) on_read(sent);
-        if (asked_anew) stale_ = false;
-        answer_reads(before);
-        env_.after(r.items.empty() && !asked_for ? millis(1) : watch_pause(), [this, run] {
-            if (run == watch_run_) watch();
-        });
-    });
+                     if (run != watch_run_) return;
+                     watch_open_ = false;
+                     const bool asked_anew = std::exchange(watch_now_, false) && stale_;
+                     if (r.too_old) return reload();
+                     if (r.outcome != Outcome::ok) {
+                         // Others are served: the answer may be longer than we take. Its pages are not.
+                         if (store_.reachable() && ++watch_fails_ >= 3) return reload();
+                         env_.after(millis(200), [this, run] {
+                             if (run == watch_run_) watch();
+                         });
+                         return;
+                     }
+                     watch_fails_ = 0;
+                     for (const auto& i : r.items) model_.apply(i);
+                     model_.seen = std::max(model_.seen, r.revision);
+                     if (on_read) on_read(sent);
+                     if (asked_anew) stale_ = false;
+                     answer_reads(before);
+                     env_.after(r.items.empty() && !asked_for ? millis(1) : watch_pause(), [this, run] {
+                         if (run == watch_run_) watch();
+                     });
+                 });
 }
 
-// Asked one by one, the questions of some hundred users took the whole request budget of the state service, and most of them
-// were never answered.
+// Asked one by one, the questions of some hundred users took the whole request budget of the state service,
+// and most of them were never answered.
 void Cluster::read_through(std::function<void(bool)> done) {
     if (!in_touch() || reads_.size() >= most_reads) {
         env_.after(Duration(0), [done = std::move(done)] { done(false); });
         return;
     }
     reads_.push_back({next_read_++, env_.now(), std::move(done)});
-    // The next watch is sent soon and answered at once; one that is open already may hang, and tells nothing of now.
+    // The next watch is sent soon and answered at once; one that is open already may hang, and tells nothing
+    // of now.
     if (watch_open_) read_soon();
 }
 
@@ -263,15 +274,16 @@
         read_armed_ = false;
         if (reads_.empty() || loading_ || !watch_open_) return;
         last_read_ = env_.now();
-        store_.watch("z/", model_.seen, true, [this, run = watch_run_, sent = env_.now(), before = next_read_](ListResult r) {
-            if (run == watch_run_ && r.outcome == Outcome::ok && !r.too_old) {
-                for (const auto& i : r.items) model_.apply(i);
-                model_.seen = std::max(model_.seen, r.revision);
-                if (on_read) on_read(sent);
-                answer_reads(before);
-            }
-            if (!reads_.empty()) read_soon();
-        });
+        store_.watch("z/", model_.seen, true,
+                     [this, run = watch_run_, sent = env_.now(), before = next_read_](ListResult r) {
+                         if (run == watch_run_ && r.outcome == Outcome::ok && !r.too_old) {
+                             for (const auto& i : r.items) model_.apply(i);
+                             model_.seen = std::max(model_.seen, r.revision);
+                             if (on_read) on_read(sent);
+                             answer_reads(before);
+                         }
+                         if (!reads_.empty()) read_soon();
+                     });
     });
 }
 
@@ -300,7 +312,8 @@
 void Cluster::review() {
     env_.after(millis(100), [this] { review(); });
     if (!in_touch() || loading_ || !registered_) return;
-    // A commit of our life before, held and carried out late, may have tied our record to a grant that then ended.
+    // A commit of our life before, held and carried out late, may have tied our record to a grant that then
+    // ended.
     if (!is_live(settings_.node)) {
         registered_ = false;
         register_node();
@@ -314,15 +327,16 @@
             continue;
         }
         const NodeName home = all_[k % all_.size()];
-        // What our life before held is ours to claim, whoever the hash names now: back within its session's length, we
-        // look alive to the others, and nobody else would.
+        // What our life before held is ours to claim, whoever the hash names now: back within its session's
+        // length, we look alive to the others, and nobody else would.
         auto given = handed_over_.find(k);
-        if (given != handed_over_.end() && (env_.now() - given->second > seconds(settings_.lease_s * 3) || !is_live(p.owner)))
+        if (given != handed_over_.end() &&
+            (env_.now() - given->second > seconds(settings_.lease_s * 3) || !is_live(p.owner)))
             given = (handed_over_.erase(given), handed_over_.end());
-        const bool mine = (home == settings_.node && given == handed_over_.end()) || p.owner == settings_.node ||
-                          (!is_live(home) && (p.owner == settings_.node ||
-                                              ((p.owner.empty() || !is_live(p.owner)) &&
-                                               pick(keys::part(k), among) == settings_.node)));
+        const bool mine =
+            (home == settings_.node && given == handed_over_.end()) || p.owner == settings_.node ||
+            (!is_live(home) && (p.owner == settings_.node || ((p.owner.empty() || !is_live(p.owner)) &&
+                                                              pick(keys::part(k), among) == settings_.node)));
         // A claim just won is in the model only when the watch brings it.
         auto won = claims_.find(k);
         const bool on_its_way = won != claims_.end() && won->second > model_.version(keys::part(k));
@@ -347,7 +361,8 @@
             claims_[part] = r.revision;
             log::info("event=part_claimed part={} term={} from={}", part, r.revision.v,
                       model_.parts()[part].owner.v);
-            // Not applied to the model here: the watch brings it after all that came before it. Perhaps it has by now.
+            // Not applied to the model here: the watch brings it after all that came before it. Perhaps it
+            // has by now.
             changed();
         }
         // A claim without an answer that went through is seen as a record of ours without a claim, and is
--- a/src/cluster/cluster.h
+++ b/src/cluster/cluster.h
@@ -21,10 +21,13 @@
 
     // The model has been read in full and the watch goes on from there.
     bool synced() const { return synced_; }
-    // The state service answers, and what it holds was read since it last went away: nothing is decided on the view
-    // from before a cut. Back from one, a supplier took the machines that others had long taken over for silent ones.
-    // Nor is anything on the view from before this process stood still: its own timer, overdue, tells so before it runs.
-    bool in_touch() const { return synced_ && !stale_ && store_.reachable() && env_.now() - awake_ < stall_limit; }
+    // The state service answers, and what it holds was read since it last went away: nothing is decided on
+    // the view from before a cut. Back from one, a supplier took the machines that others had long taken over
+    // for silent ones. Nor is anything on the view from before this process stood still: its own timer,
+    // overdue, tells so before it runs.
+    bool in_touch() const {
+        return synced_ && !stale_ && store_.reachable() && env_.now() - awake_ < stall_limit;
+    }
     // Term of a part that this process owns, as far as it knows.
     std::optional<Term> term(std::uint32_t part) const;
     std::optional<Term> term_of(const MachineId& m) const { return term(model_.part_of(m)); }
@@ -35,22 +38,24 @@
     bool is_live(const NodeName& n) const { return model_.nodes().contains(n); }
     // The controller that relays the job: the one that accepted it, or while that is away one picked by hash.
     NodeName relay_of(const Job& j) const;
-    // The controller through which a job's starts and ends are committed: its relay, or for a limited team one for all
-    // of the team's jobs. Any other may commit them too; this one does so without conflicts.
+    // The controller through which a job's starts and ends are committed: its relay, or for a limited team
+    // one for all of the team's jobs. Any other may commit them too; this one does so without conflicts.
     NodeName home_of(const Job& j) const;
-    // What this node and its peers have to commit, by the latest beats; `heard` leaves out peers that are silent.
+    // What this node and its peers have to commit, by the latest beats; `heard` leaves out peers that are
+    // silent.
     void share_writes(double mine, const std::map<NodeName, double>& heard);
     // Picks among `among` by the hash of a key: each survivor takes its share.
     static NodeName pick(const std::string& key, const std::vector<NodeName>& among);
     // Unique to this process among all that ever ran: the revision of its first session.
     Revision incarnation() const { return incarnation_; }
 
-    // Gives a part to another live controller: this one hears none of its workers. Taken back at the earliest when a few
-    // leases have passed, or when the other is gone; a process that starts anew knows nothing of it.
+    // Gives a part to another live controller: this one hears none of its workers. Taken back at the earliest
+    // when a few leases have passed, or when the other is gone; a process that starts anew knows nothing of
+    // it.
     void hand_over(std::uint32_t part);
 
-    // Calls back, from the loop, when the model holds all that was committed before this call: one read of the state service
-    // answers all who asked before it was sent. False when none was answered in time.
+    // Calls back, from the loop, when the model holds all that was committed before this call: one read of
+    // the state service answers all who asked before it was sent. False when none was answered in time.
     void read_through(std::function<void(bool fresh)> done);
 
     std::function<void(std::uint32_t part)> on_part_gained;
@@ -81,7 +86,8 @@
     Model& model_;
     std::vector<NodeName> all_;
     std::uint64_t grant_ = 0;
-    bool registered_ = false, registering_ = false, acquiring_ = false, renewing_ = false, loading_ = false, synced_ = false, standing_ = false;
+    bool registered_ = false, registering_ = false, acquiring_ = false, renewing_ = false, loading_ = false,
+         synced_ = false, standing_ = false;
     Revision incarnation_;
     static constexpr Duration stall_limit = std::chrono::seconds(1);
     Mono awake_{};
@@ -96,7 +102,7 @@
     std::deque<Read> reads_;  // oldest first
     std::uint64_t next_read_ = 0;
     Mono last_read_{};
-    double write_share_ = 0;  // 0: one by the number of nodes
+    double write_share_ = 0;                // 0: one by the number of nodes
     std::map<std::uint32_t, Term> claims_;  // won by this process
     std::set<std::uint32_t> claiming_;
     std::map<std::uint32_t, Mono> handed_over_;
--- a/src/cluster/horizon.h
+++ b/src/cluster/horizon.h
@@ -1,6 +1,6 @@
-// The cancellation horizon: the time up to which this node surely knows every cancellation that any user may have been
-// told of. A lease is renewed only for as long as a task of a job cancelled after that time would still be gone within
-// `cancel_s` (docs/design.md, "Cancellations").
+// The cancellation horizon: the time up to which this node surely knows every cancellation that any user may
+// have been told of. A lease is renewed only for as long as a task of a job cancelled after that time would
+// still be gone within `cancel_s` (docs/design.md, "Cancellations").
 #pragma once
 #include <map>
 
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -10,18 +10,25 @@
 constexpr Duration hold_answer = std::chrono::milliseconds(700);  // well below the 4 s that a worker waits
 constexpr std::size_t most_machines = 20'000;
 constexpr std::size_t most_gone = 16'384;
-constexpr std::size_t most_announcements = 24;  // under way at once
-constexpr double elder_wait_s = 5;   // what has waited so long
-constexpr double elder_apart_s = 3;  // and is older by so much goes first,
+constexpr std::size_t most_announcements = 24;                  // under way at once
+constexpr double elder_wait_s = 5;                              // what has waited so long
+constexpr double elder_apart_s = 3;                             // and is older by so much goes first,
 constexpr Duration kept_for = std::chrono::milliseconds(1500);  // for so long on each machine
-constexpr std::size_t few_machines = 5;  // whose silence together is no chance
-constexpr int most_orders = 2;                  // answers with the same run before it is given up
+constexpr std::size_t few_machines = 5;                         // whose silence together is no chance
+constexpr int most_orders = 2;  // answers with the same run before it is given up
 // Two clocks may each be off by 0.05%; the rest covers the timer's own step.
 Duration surely_lapsed(double lease_s) { return seconds(lease_s * 1.002) + millis(100); }
 }  // namespace
 
-Fleet::Fleet(Env& env, const Settings& settings, Model& model, Cluster& cluster, const Horizon& horizon, Ledger& ledger, SendPeer send)
-    : env_(env), settings_(settings), model_(model), cluster_(cluster), horizon_(horizon), ledger_(ledger), send_(std::move(send)) {}
+Fleet::Fleet(Env& env, const Settings& settings, Model& model, Cluster& cluster, const Horizon& horizon,
+             Ledger& ledger, SendPeer send)
+    : env_(env),
+      settings_(settings),
+      model_(model),
+      cluster_(cluster),
+      horizon_(horizon),
+      ledger_(ledger),
+      send_(std::move(send)) {}
 
 void Fleet::start() { sweep(); }
 
@@ -32,10 +39,10 @@
         std::optional<NodeName> owner = cluster_.synced() ? cluster_.owner_of(r.machine) : std::nullopt;
         return reply({421, wire::redirect_body(owner), -1});
     }
-    if (!machines_.contains(r.machine) && machines_.size() >= most_machines)
-        return reply({503, "{}", 1});
-    // Copies of reports come late, up to well over a lease: what is older than we know, of a session that surely
-    // lapsed or of a returned machine renews nothing, proves nothing and revives nothing, and gets no orders.
+    if (!machines_.contains(r.machine) && machines_.size() >= most_machines) return reply({503, "{}", 1});
+    // Copies of reports come late, up to well over a lease: what is older than we know, of a session that
+    // surely lapsed or of a returned machine renews nothing, proves nothing and revives nothing, and gets no
+    // orders.
     auto known = machines_.find(r.machine);
     const bool stale = gone_.contains(r.machine) ||
                        (known != machines_.end() &&
@@ -47,14 +54,16 @@
     }
     Machine& m = machines_[r.machine];
     if (m.first_known == Mono{}) m.first_known = env_.now();
-    // Nothing of this session came for longer than a lease: what comes now was held on its way, or its sender was told our term
-    // by others' means. Either way this one report does not prove that it hears us; the next does.
+    // Nothing of this session came for longer than a lease: what comes now was held on its way, or its sender
+    // was told our term by others' means. Either way this one report does not prove that it hears us; the
+    // next does.
     const bool overdue = m.term_of_proof == *mine && m.reported && r.age.session == m.age.session &&
                          env_.now() - m.last_heard > surely_lapsed(settings_.lease_s);
     m.last_heard = env_.now();
     hearing_[model_.part_of(r.machine)].heard = env_.now();
-    log::debug("event=check_in machine={} session={} seq={} shown={} term={} hears={} answered={} at={:.3f}", r.machine.v, r.age.session,
-               r.age.seq, r.term.v, mine->v, m.hears, m.answered_seq, to_s(env_.now().time_since_epoch()));
+    log::debug("event=check_in machine={} session={} seq={} shown={} term={} hears={} answered={} at={:.3f}",
+               r.machine.v, r.age.session, r.age.seq, r.term.v, mine->v, m.hears, m.answered_seq,
+               to_s(env_.now().time_since_epoch()));
     // An older check-in still held: its worker has moved on, and no order in its answer would be executed.
     if (auto old = held_.find(r.machine); old != held_.end()) {
         env_.cancel(old->second.timer);
@@ -69,14 +78,15 @@
     m.answered_seq = r.age.seq;
     if (!m.ended.empty() || r.tasks.empty()) tell_freed(r.machine, m);
     if (!orders.empty() || !worth_waiting(r.machine, m, r)) return renew(r, *mine, std::move(orders), reply);
-    // What it reports (an end, or room) will bring orders in a moment, and its next check-in is a report interval
-    // away: short tasks lost a tenth of their machine to that wait.
+    // What it reports (an end, or room) will bring orders in a moment, and its next check-in is a report
+    // interval away: short tasks lost a tenth of their machine to that wait.
     held_[r.machine] = {r, reply, env_.after(hold_answer, [this, id = r.machine] { answer(id); })};
 }
 
 bool Fleet::worth_waiting(const MachineId& id, const Machine& m, const wire::Report& r) const {
     if (r.notice_s || !usable(id, m) || !model_.work_waits()) return false;
-    if (std::any_of(r.tasks.begin(), r.tasks.end(), [](const auto& t) { return t.phase == wire::TaskPhase::ended; }))
+    if (std::any_of(r.tasks.begin(), r.tasks.end(),
+                    [](const auto& t) { return t.phase == wire::TaskPhase::ended; }))
         return true;
     return r.tasks.empty();
 }
@@ -93,15 +103,17 @@
     if (!mine || m == machines_.end() || h.report.term > *mine) return h.reply({421, "{}", -1});
     std::vector<wire::Order> orders;
     // A newer message, by direct command, may have come meanwhile: then this report's news is old.
-    if (h.report.age == m->second.age) orders = orders_for(id, m->second, h.report, *mine);
-    else orders = halts_of_cancelled(h.report);
+    if (h.report.age == m->second.age)
+        orders = orders_for(id, m->second, h.report, *mine);
+    else
+        orders = halts_of_cancelled(h.report);
     renew(h.report, *mine, std::move(orders), h.reply);
 }
 
-// The one place that answers 200, and so renews a lease. Each such answer halts whatever is known to be cancelled; and
-// where a cancellation may have been told for so long that a lease renewed now would outlast `cancel_s`, there is none: the
-// worker tries the others, and its lease runs out. Refused by the state service alone, an owner went on renewing the
-// leases of tasks whose cancellation it never heard of.
+// The one place that answers 200, and so renews a lease. Each such answer halts whatever is known to be
+// cancelled; and where a cancellation may have been told for so long that a lease renewed now would outlast
+// `cancel_s`, there is none: the worker tries the others, and its lease runs out. Refused by the state
+// service alone, an owner went on renewing the leases of tasks whose cancellation it never heard of.
 void Fleet::renew(const wire::Report& r, Term mine, std::vector<wire::Order> orders, const Reply& reply) {
     if (!horizon_.may_renew()) {
         ++counts_.not_renewed;
@@ -114,7 +126,8 @@
 std::vector<wire::Order> Fleet::halts_of_cancelled(const wire::Report& r) const {
     std::vector<wire::Order> orders;
     for (const auto& t : r.tasks)
-        if (const Job* j = model_.job(t.task.job); j != nullptr && j->cancelled && t.phase != wire::TaskPhase::ended)
+        if (const Job* j = model_.job(t.task.job);
+            j != nullptr && j->cancelled && t.phase != wire::TaskPhase::ended)
             orders.push_back({wire::Verb::halt, t.task, t.attempt, 0});
     return orders;
 }
@@ -125,14 +138,17 @@
     for (const auto& [n, page] : j->pages)
         for (std::size_t i = 0; i < page.tasks.size(); ++i) {
             const TaskState& t = page.tasks[i];
-            if (t.at != TaskState::At::placed || !machines_.contains(t.machine) || !cluster_.term_of(t.machine)) continue;
+            if (t.at != TaskState::At::placed || !machines_.contains(t.machine) ||
+                !cluster_.term_of(t.machine))
+                continue;
             const TaskRef ref{id, static_cast<TaskIndex>(i) + n * model_.page_size()};
             halts_[t.machine].push_back({wire::Verb::halt, ref, t.attempt, 0});
         }
     send_halts();
 }
 
-// A halt of a cancelled task is right whenever it arrives; the answers to check-ins repeat it until it is heeded.
+// A halt of a cancelled task is right whenever it arrives; the answers to check-ins repeat it until it is
+// heeded.
 void Fleet::send_halts() {
     while (!halts_.empty() && halting_ < most_announcements) {
         const auto [id, orders] = std::move(*halts_.begin());
@@ -141,7 +157,8 @@
         const auto mine = cluster_.term_of(id);
         if (!mine || m == machines_.end() || m->second.address.empty()) continue;
         ++halting_;
-        env_.http(m->second.address, {"POST", "/commands", wire::orders_body(*mine, orders, m->second.age.session)}, seconds(2),
+        env_.http(m->second.address,
+                  {"POST", "/commands", wire::orders_body(*mine, orders, m->second.age.session)}, seconds(2),
                   [this](const HttpResponse&) {
                       --halting_;
                       send_halts();
@@ -171,7 +188,8 @@
     if (r.term == mine) m.term_shown = true;
     if (checkin) m.reported = true;
     if (r.notice_s && !m.notice_s)
-        log::info("event=spot_notice machine={} seconds={:.1f} tasks={}", r.machine.v, *r.notice_s, r.tasks.size());
+        log::info("event=spot_notice machine={} seconds={:.1f} tasks={}", r.machine.v, *r.notice_s,
+                  r.tasks.size());
     m.notice_s = r.notice_s;
     m.notice_at = now;
     m.free.reset();
@@ -185,20 +203,22 @@
         }
         Seen s{t.phase, t.attempt, now};
         auto it = old.find(t.task);
-        if (it != old.end() && it->second.attempt == t.attempt && it->second.phase == t.phase) s.since = it->second.since;
+        if (it != old.end() && it->second.attempt == t.attempt && it->second.phase == t.phase)
+            s.since = it->second.since;
         m.tasks[t.task] = s;
     }
 }
 
-std::vector<wire::Order> Fleet::orders_for(const MachineId& id, Machine& m, const wire::Report& r, Term mine) {
+std::vector<wire::Order> Fleet::orders_for(const MachineId& id, Machine& m, const wire::Report& r,
+                                           Term mine) {
     std::vector<wire::Order> orders;
     std::set<TaskRef> mentioned;
     const Mono now = env_.now();
     for (const auto& t : r.tasks) {
         const Job* job = model_.job(t.task.job);
         TaskState s = model_.task(t.task);
-        const bool placed_here = job != nullptr && s.at == TaskState::At::placed && s.machine == id &&
-                                 s.attempt == t.attempt;
+        const bool placed_here =
+            job != nullptr && s.at == TaskState::At::placed && s.machine == id && s.attempt == t.attempt;
         if (placed_here) {
             mentioned.insert(t.task);
             Told& told = m.told[{t.task, t.attempt}];
@@ -216,8 +236,8 @@
                 ledger_.finish(t.task, t.attempt, id);
                 continue;
             }
-            // A failed end is believed only of a report that shows our term. A copy of an older one may be late, and
-            // since then the same attempt may have been ordered again in a new session.
+            // A failed end is believed only of a report that shows our term. A copy of an older one may be
+            // late, and since then the same attempt may have been ordered again in a new session.
             if (r.term != mine) continue;
             if (t.cause == wire::Cause::error) note_error(id, m, t.task.job);
             if (t.cause == wire::Cause::no_room || t.cause == wire::Cause::unknown)
@@ -255,8 +275,9 @@
         TaskState s = model_.task(ref);
         const Job* job = model_.job(ref.job);
         if (job == nullptr) continue;
-        // Judged to be over, only not committed yet (the state service may be away): a worker back in a new session
-        // must not be told to start it again, or it would run while its successor is started elsewhere.
+        // Judged to be over, only not committed yet (the state service may be away): a worker back in a new
+        // session must not be told to start it again, or it would run while its successor is started
+        // elsewhere.
         if (ledger_.ending(ref, s.attempt)) continue;
         auto told = m.told.find({ref, s.attempt});
         const bool ordered = told != m.told.end();
@@ -268,11 +289,12 @@
                               (job->spec.shape == wire::Shape::gang && sched::gang_state(*job).failed);
         if (!unwanted) {
             if (ordered && m.hears) {
-                log::info("event=run_unheeded task={} attempt={} machine={} answers={}", ref.str(), s.attempt, id.v,
-                          told->second.answers);
+                log::info("event=run_unheeded task={} attempt={} machine={} answers={}", ref.str(), s.attempt,
+                          id.v, told->second.answers);
                 m.hears = false;
             }
-            // Without the state service nothing is started: the job may be cancelled and the part another's by now.
+            // Without the state service nothing is started: the job may be cancelled and the part another's
+            // by now.
             if (!cluster_.in_touch()) continue;
             Told& t = m.told[{ref, s.attempt}];
             t.session = r.age.session;
@@ -283,7 +305,10 @@
         // Absent from a check-in that shows our term: no order of an earlier owner counts any more, and those
         // in answers of ours to earlier check-ins were executed or dropped before this one was sent.
         if (r.term == mine)
-            ledger_.release(ref, s.attempt, id, was_here ? "vanished" : never_took ? "not_taken" : "not_started");
+            ledger_.release(ref, s.attempt, id,
+                            was_here     ? "vanished"
+                            : never_took ? "not_taken"
+                                         : "not_started");
     }
     if (m.told.size() > 2 * model_.on_machine(id).size() + 32)
         std::erase_if(m.told, [&](const auto& t) {
@@ -293,8 +318,8 @@
     return orders;
 }
 
-// Holds the image, or fetches it for another task by now: fetches at the same time share the machine's rate, so that a
-// second image beside the first delays both.
+// Holds the image, or fetches it for another task by now: fetches at the same time share the machine's rate,
+// so that a second image beside the first delays both.
 bool Fleet::has_image(const MachineId& id, const Machine& m, const std::string& image) const {
     const auto* type = model_.type(m.type);
     if (type != nullptr && model_.holds_image(id, image, type->cache_gb)) return true;
@@ -317,7 +342,8 @@
     log::info("event=machine_blocked machine={} job={} errors={}", id.v, job.v, m.errors);
 }
 
-// Every ask looks at every machine: worked out each time, this was a quarter of all processor time in a burst.
+// Every ask looks at every machine: worked out each time, this was a quarter of all processor time in a
+// burst.
 Room Fleet::free_room(const MachineId& id, Machine& m) {
     if (!m.free || m.free_epoch != room_epoch_) {
         ++counts_.rooms;
@@ -336,9 +362,11 @@
     if (type == nullptr) return {};
     Room free = type->room;
     const auto& placed = model_.on_machine(id);
-    // An end takes a while to be committed; the machine's own word that the task is over frees its room before.
+    // An end takes a while to be committed; the machine's own word that the task is over frees its room
+    // before.
     for (const auto& ref : placed)
-        if (const Job* j = model_.job(ref.job); j != nullptr && !m.ended.contains({ref, model_.task(ref).attempt}))
+        if (const Job* j = model_.job(ref.job);
+            j != nullptr && !m.ended.contains({ref, model_.task(ref).attempt}))
             free -= j->spec.need;
     // What the worker still reports of others occupies it too.
     for (const auto& [ref, s] : m.tasks)
@@ -416,12 +444,13 @@
 bool Fleet::usable(const MachineId& id, const Machine& m) const {
     Mono now = env_.now();
     auto mine = cluster_.term_of(id);
-    return mine && m.reported && m.hears && m.term_of_proof == *mine && !m.notice_s && !m.draining && m.blocked_until <= now &&
-           now - m.last_heard < seconds(settings_.report_s * 2.5);
+    return mine && m.reported && m.hears && m.term_of_proof == *mine && !m.notice_s && !m.draining &&
+           m.blocked_until <= now && now - m.last_heard < seconds(settings_.report_s * 2.5);
 }
 
-// Arrays that come before this job: those that have waited a while, and those with fewer machines to go to. The relays ask each for its own jobs; without an order
-// among them, what one relay held could wait for minutes while another's newer work took each place that came free.
+// Arrays that come before this job: those that have waited a while, and those with fewer machines to go to.
+// The relays ask each for its own jobs; without an order among them, what one relay held could wait for
+// minutes while another's newer work took each place that came free.
 std::vector<const Job*> Fleet::elders(const Job& j) const {
     std::vector<const Job*> out;
     const WallMs wall = env_.wall();
@@ -429,8 +458,10 @@
         if (o.spec.shape == wire::Shape::gang || o.cancelled || o.pending() == 0 || id == j.spec.id) continue;
         const bool older = static_cast<double>(wall.v - o.submitted.v) > elder_wait_s * 1000 &&
                            sched::comes_before(o, j, elder_apart_s + settings_.skew_ms / 500);
-        // Tasks a little too large for the common type waited for the few large machines, which smaller ones filled.
-        const bool needier = o.spec.rank <= j.spec.rank && sched::has_less_choice(o.spec, j.spec, model_.types());
+        // Tasks a little too large for the common type waited for the few large machines, which smaller ones
+        // filled.
+        const bool needier =
+            o.spec.rank <= j.spec.rank && sched::has_less_choice(o.spec, j.spec, model_.types());
         if ((older && !sched::has_less_choice(j.spec, o.spec, model_.types())) || needier)
             if (model_.team_has_room(o.spec.team, o.spec.need, 1)) out.push_back(&o);
     }
@@ -445,7 +476,8 @@
         out.whole = job->spec.shape == wire::Shape::gang;
         const Mono now = env_.now();
         const auto bound = model_.bound_zone(*job);
-        std::optional<std::vector<const Job*>> before;  // looked up only where there is room: in a burst there is none
+        std::optional<std::vector<const Job*>>
+            before;  // looked up only where there is room: in a burst there is none
         std::vector<sched::Candidate> candidates;
         for (auto& [id, m] : machines_) {
             const Room free = free_room(id, m);
@@ -455,7 +487,8 @@
             const auto* type = model_.type(m.type);
             if (type == nullptr || !sched::worth_using(job->spec, *type, model_.types())) continue;
             // A supplier that is gone leaves no reservations behind.
-            if (auto kept = reserved_.find(id); kept != reserved_.end() && !sched::may_use(job->spec, kept->second) &&
+            if (auto kept = reserved_.find(id); kept != reserved_.end() &&
+                                                !sched::may_use(job->spec, kept->second) &&
                                                 env_.now() - reserved_at_ < seconds(6))
                 continue;
             sched::Candidate c{id, m.zone, free, type->room, false, std::min(m.errors, 5)};
@@ -465,7 +498,8 @@
                        c.free.fits(o->spec.need) && sched::worth_using(o->spec, *type, model_.types());
             });
             if (wanted) {
-                // Only for a moment: an elder whose relay is away, or that fails everywhere, must not keep it idle.
+                // Only for a moment: an elder whose relay is away, or that fails everywhere, must not keep it
+                // idle.
                 if (m.kept_since == Mono{}) m.kept_since = now;
                 if (now - m.kept_since < kept_for) continue;
             }
@@ -489,18 +523,19 @@
         TaskRef ref{v.job, a.task};
         auto it = machines_.find(a.machine);
         // The room may be gone since it was offered: rechecked, and checked again by the commit.
-        if (job == nullptr || it == machines_.end() || !usable(a.machine, it->second) || starting_.contains(ref) ||
-            !free_room(a.machine, it->second).fits(job->spec.need)) {
+        if (job == nullptr || it == machines_.end() || !usable(a.machine, it->second) ||
+            starting_.contains(ref) || !free_room(a.machine, it->second).fits(job->spec.need)) {
             again.push_back(a.task);
             continue;
         }
         it->second.kept_since = {};
         start(ref, a.machine, job->spec.need);
-        ledger_.place(ref, a.machine, it->second.zone, [this, ref, round = v.round, m = a.machine](bool placed) {
-            started(ref);
-            if (placed) return answer_soon(m);
-            send_(round.relay, wire::Unplaced{round, ref.job, {ref.task}});
-        });
+        ledger_.place(ref, a.machine, it->second.zone,
+                      [this, ref, round = v.round, m = a.machine](bool placed) {
+                          started(ref);
+                          if (placed) return answer_soon(m);
+                          send_(round.relay, wire::Unplaced{round, ref.job, {ref.task}});
+                      });
     }
     if (!again.empty()) send_(v.round.relay, wire::Unplaced{v.round, v.job, std::move(again)});
 }
@@ -561,7 +596,8 @@
 
 void Fleet::on_sighted(const wire::Sighted& m) {
     for (const auto& s : m.machines) {
-        if (gone_.contains(s.id) || (addresses_.size() >= most_machines && !addresses_.contains(s.id))) continue;
+        if (gone_.contains(s.id) || (addresses_.size() >= most_machines && !addresses_.contains(s.id)))
+            continue;
         Address& a = addresses_[s.id];
         a.where = s.address;
         a.fresh = env_.now();
@@ -571,8 +607,8 @@
 void Fleet::on_part_gained(std::uint32_t part) {
     log::info("event=part_gained part={} term={}", part, cluster_.term(part)->v);
     hearing_[part] = {env_.now(), {}};
-    // For how long machines were silent is counted from now: what was heard in an earlier term says nothing of the time
-    // since, when others heard them.
+    // For how long machines were silent is counted from now: what was heard in an earlier term says nothing
+    // of the time since, when others heard them.
     for (const auto& [id, placed] : model_.machines())
         if (model_.part_of(id) == part) machines_[id];
     for (auto& [id, m] : machines_)
@@ -590,11 +626,13 @@
     return m != machines_.end() && m->second.term_shown && m->second.term_of_proof == mine;
 }
 
-// Workers of an owner that can still reach them must learn the new term, or they would stay with it. A controller cut
-// off from all but its workers would else keep them, their cancelled tasks included, for as long as the cut lasts.
+// Workers of an owner that can still reach them must learn the new term, or they would stay with it. A
+// controller cut off from all but its workers would else keep them, their cancelled tasks included, for as
+// long as the cut lasts.
 void Fleet::announce_due() {
     const Mono now = env_.now();
-    std::erase_if(addresses_, [&](const auto& a) { return !a.second.asking && now - a.second.fresh > seconds(120); });
+    std::erase_if(addresses_,
+                  [&](const auto& a) { return !a.second.asking && now - a.second.fresh > seconds(120); });
     for (auto& [id, a] : addresses_) {
         if (asking_ >= most_announcements) return;
         if (a.asking || a.next_try > now) continue;
@@ -624,10 +662,12 @@
                       to.next_try = {};
                   } else {
                       if (wrong_session) to.session = r->age.session;
-                      to.next_try = env_.now() + std::min(seconds(4), millis(500) * (1 << std::min(to.tries, 3)));
+                      to.next_try =
+                          env_.now() + std::min(seconds(4), millis(500) * (1 << std::min(to.tries, 3)));
                       ++to.tries;
                   }
-                  if (!r || r->machine != id || r->term != term || cluster_.term_of(id) != term || gone_.contains(id)) {
+                  if (!r || r->machine != id || r->term != term || cluster_.term_of(id) != term ||
+                      gone_.contains(id)) {
                       if (wrong_session) announce_due();
                       return;
                   }
@@ -649,8 +689,10 @@
     for (auto& [id, m] : machines_) {
         if (!cluster_.term_of(id)) continue;
         const bool is_empty = empty(id, m);
-        if (!is_empty) m.idle_since = now;
-        else if (m.idle_since == Mono{}) m.idle_since = now;
+        if (!is_empty)
+            m.idle_since = now;
+        else if (m.idle_since == Mono{})
+            m.idle_since = now;
         // One that is heard but does not hear us is out of touch all the same.
         Mono heard = std::max(m.last_good, m.first_known);
         wire::MachineBeat b;
@@ -662,8 +704,11 @@
         b.usable = usable(id, m);
         b.silent = now - heard > seconds(settings_.lease_s);
         b.session = m.age.session;
-        b.busy_tasks = is_empty ? 0 : static_cast<std::uint32_t>(std::max<std::size_t>(1, model_.on_machine(id).size()));
-        auto ms = [](Duration d) { return static_cast<std::uint32_t>(std::clamp<std::int64_t>(d.count() / 1000, 0, 1'000'000'000)); };
+        b.busy_tasks =
+            is_empty ? 0 : static_cast<std::uint32_t>(std::max<std::size_t>(1, model_.on_machine(id).size()));
+        auto ms = [](Duration d) {
+            return static_cast<std::uint32_t>(std::clamp<std::int64_t>(d.count() / 1000, 0, 1'000'000'000));
+        };
         b.idle_ms = ms(now - m.idle_since);
         b.silent_ms = ms(now - heard);
         out.push_back(std::move(b));
@@ -678,17 +723,21 @@
     if (job == nullptr || t.at != TaskState::At::placed || t.attempt != p.attempt) return;
     auto mine = cluster_.term_of(t.machine);
     auto it = machines_.find(t.machine);
-    if (!mine || it == machines_.end() || !stops_.emplace(std::make_pair(ref, t.attempt), env_.now()).second) return;
-    log::info("event=task_preempted task={} attempt={} machine={} term={}", ref.str(), t.attempt, t.machine.v, mine->v);
+    if (!mine || it == machines_.end() || !stops_.emplace(std::make_pair(ref, t.attempt), env_.now()).second)
+        return;
+    log::info("event=task_preempted task={} attempt={} machine={} term={}", ref.str(), t.attempt, t.machine.v,
+              mine->v);
     // Straight to the worker, for speed; every answer to its check-ins repeats it until it is heeded.
     wire::Order halt{wire::Verb::halt, ref, t.attempt, job->spec.save_s + 3};
-    env_.http(it->second.address, {"POST", "/commands", wire::orders_body(*mine, {halt}, it->second.age.session)},
-              seconds(2), [](const HttpResponse&) {});
+    env_.http(it->second.address,
+              {"POST", "/commands", wire::orders_body(*mine, {halt}, it->second.age.session)}, seconds(2),
+              [](const HttpResponse&) {});
 }
 
-// Cut off from the workers alone, an owner that is in touch with the state service kept its part while every lease in it
-// ran out, though others heard the workers. Where none of several is heard for longer than any would keep silent by chance,
-// the part goes to another; and on after two leases, should that one hear none either.
+// Cut off from the workers alone, an owner that is in touch with the state service kept its part while every
+// lease in it ran out, though others heard the workers. Where none of several is heard for longer than any
+// would keep silent by chance, the part goes to another; and on after two leases, should that one hear none
+// either.
 void Fleet::give_up_unheard() {
     if (!cluster_.in_touch()) return;
     const Mono now = env_.now();
@@ -701,15 +750,18 @@
     for (const auto& [part, h] : hearing_) {
         if (!cluster_.term(part)) continue;
         const bool fell_silent = h.heard > h.gained && now - h.heard > quiet && heard[part] >= few_machines;
-        const bool never_heard = h.heard <= h.gained && now - h.gained > 2 * lease && known[part] >= few_machines;
+        const bool never_heard =
+            h.heard <= h.gained && now - h.gained > 2 * lease && known[part] >= few_machines;
         if (fell_silent || never_heard) cluster_.hand_over(part);
     }
 }
 
 void Fleet::sweep() {
     env_.after(millis(500), [this] { sweep(); });
-    // Worked out anew for every sweep and every job that came or went, rooms took a tenth of a large fleet's processor time.
-    if (const Revision types = model_.version(keys::types); std::exchange(types_seen_, types) != types) ++room_epoch_;
+    // Worked out anew for every sweep and every job that came or went, rooms took a tenth of a large fleet's
+    // processor time.
+    if (const Revision types = model_.version(keys::types); std::exchange(types_seen_, types) != types)
+        ++room_epoch_;
     Mono now = env_.now();
     std::vector<wire::RoundId> unanswered;
     for (const auto& [round, r] : holds_)
@@ -745,8 +797,10 @@
         if (m.draining && now - m.drain_since > seconds(20)) m.draining = false;
         const Mono heard = std::max(m.last_heard, m.first_known);
         const bool forgotten = model_.on_machine(id).empty() && now - heard > seconds(settings_.lease_s * 12);
-        if ((!mine && model_.on_machine(id).empty()) || forgotten) it = machines_.erase(it);
-        else ++it;
+        if ((!mine && model_.on_machine(id).empty()) || forgotten)
+            it = machines_.erase(it);
+        else
+            ++it;
     }
 }
 
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -24,7 +24,8 @@
 class Fleet {
   public:
     using SendPeer = std::function<void(const NodeName&, wire::PeerMessage)>;
-    Fleet(Env& env, const Settings& settings, Model& model, Cluster& cluster, const Horizon& horizon, Ledger& ledger, SendPeer send);
+    Fleet(Env& env, const Settings& settings, Model& model, Cluster& cluster, const Horizon& horizon,
+          Ledger& ledger, SendPeer send);
     void start();
 
     void check_in(const wire::Report& r, const Reply& reply);
@@ -67,26 +68,29 @@
     struct Machine {
         std::string type, zone, address;
         bool spot = false;
-        wire::ReportAge age;             // newest message
-        Mono last_heard{};               // newest check-in received: its lease runs from there at the latest
+        wire::ReportAge age;  // newest message
+        Mono last_heard{};    // newest check-in received: its lease runs from there at the latest
         Mono first_known{};
-        bool term_shown = false;         // it has shown our present term: no other's orders or answers count
-        bool reported = false;           // under our present term, by check-in
-        Term term_of_proof;              // the term for which term_shown holds
-        std::map<TaskRef, Seen> tasks;   // active ones of the newest report
-        std::set<std::pair<TaskRef, Attempt>> ended;  // and those it lists as ended: they take no room any more
+        bool term_shown = false;        // it has shown our present term: no other's orders or answers count
+        bool reported = false;          // under our present term, by check-in
+        Term term_of_proof;             // the term for which term_shown holds
+        std::map<TaskRef, Seen> tasks;  // active ones of the newest report
+        std::set<std::pair<TaskRef, Attempt>>
+            ended;  // and those it lists as ended: they take no room any more
         std::map<std::pair<TaskRef, Attempt>, Told> told;
-        // Reports may arrive while nothing gets back to the machine: that an answer was written proves nothing. It
-        // hears us when it shows a term that only we can have told it, or reports to us twice on end in one session
-        // (unanswered, it would have gone to another controller).
+        // Reports may arrive while nothing gets back to the machine: that an answer was written proves
+        // nothing. It hears us when it shows a term that only we can have told it, or reports to us twice on
+        // end in one session (unanswered, it would have gone to another controller).
         bool hears = false;
-        Mono last_good{};                   // newest check-in of a machine that hears us
-        std::uint64_t answered_seq = 0;     // newest check-in of this session that was answered
-        // Judged lapsed under that term: what still comes of it is a late copy. Under a later term it may be alive,
-        // since another owner may have renewed it between the two.
+        Mono last_good{};                // newest check-in of a machine that hears us
+        std::uint64_t answered_seq = 0;  // newest check-in of this session that was answered
+        // Judged lapsed under that term: what still comes of it is a late copy. Under a later term it may be
+        // alive, since another owner may have renewed it between the two.
         std::uint64_t lapsed_session = 0;
         Term lapsed_term;
-        bool over(std::uint64_t session, Term mine) const { return lapsed_term == mine && session <= lapsed_session; }
+        bool over(std::uint64_t session, Term mine) const {
+            return lapsed_term == mine && session <= lapsed_session;
+        }
         std::optional<double> notice_s;
         Mono notice_at{};
         Mono blocked_until{};
@@ -113,8 +117,8 @@
         Room each;
         Mono until;
     };
-    // What a machine's room is promised to. Kept by machine: a search through all holds for each machine of each ask
-    // grew with the square of the fleet.
+    // What a machine's room is promised to. Kept by machine: a search through all holds for each machine of
+    // each ask grew with the square of the fleet.
     struct Promised {
         Room held;
         std::map<TaskRef, Room> starting;  // said yes to, not yet committed
@@ -161,9 +165,10 @@
     std::unordered_map<MachineId, Held> held_;
     std::map<TaskRef, MachineId> starting_;
     std::map<std::string, Room> freed_;  // by type, to be told in a moment
-    std::map<MachineId, std::vector<wire::Order>> halts_;  // of cancelled jobs, to be sent straight to their machines
+    std::map<MachineId, std::vector<wire::Order>>
+        halts_;  // of cancelled jobs, to be sent straight to their machines
     std::size_t halting_ = 0;
-    std::map<std::pair<TaskRef, Attempt>, Mono> stops_;       // asked to stop
+    std::map<std::pair<TaskRef, Attempt>, Mono> stops_;  // asked to stop
     std::map<JobId, std::set<MachineId>> job_errors_;
     std::map<MachineId, sched::Reservation> reserved_;  // by the supplier's latest word
     Mono reserved_at_{};
--- a/src/jobs/api.cpp
+++ b/src/jobs/api.cpp
@@ -29,7 +29,11 @@
 }
 
 JobsApi::JobsApi(Env& env, const Settings& settings, StoreClient& store, Model& model, Cluster& cluster)
-    : env_(env), settings_(settings), store_(store), model_(model), cluster_(cluster),
+    : env_(env),
+      settings_(settings),
+      store_(store),
+      model_(model),
+      cluster_(cluster),
       finals_(static_cast<std::size_t>(std::max(1000.0, settings.memory_mb * 100))) {}
 
 bool JobsApi::ready() const { return cluster_.synced() && !model_.types().empty(); }
@@ -74,9 +78,12 @@
         --open_;
         reply(std::move(r));
     };
-    if (id.empty()) submit(req, counted);
-    else if (cancelling) cancel(id, env_.now() + submit_limit, counted);
-    else poll(id, counted);
+    if (id.empty())
+        submit(req, counted);
+    else if (cancelling)
+        cancel(id, env_.now() + submit_limit, counted);
+    else
+        poll(id, counted);
     return true;
 }
 
@@ -119,8 +126,9 @@
     });
 }
 
-// Read through, together with others: what the model holds after a read that was sent later than the question came is no older
-// than what any node has told of the job. One that is not there then is over, or was never accepted: its final record tells.
+// Read through, together with others: what the model holds after a read that was sent later than the question
+// came is no older than what any node has told of the job. One that is not there then is over, or was never
+// accepted: its final record tells.
 void JobsApi::poll(const JobId& id, Reply reply) {
     cluster_.read_through([this, id, reply = std::move(reply)](bool fresh) {
         if (!fresh) return reply(later(1));
@@ -149,7 +157,8 @@
     const Job* j = model_.job(id);
     if (f.job.cancelled) return {live_status, wire::job_answer(id, wire::Phase::cancelled), -1};
     const std::int64_t running = j != nullptr ? j->placed : 0, done = j != nullptr ? j->done : 0;
-    return {live_status, wire::job_answer(id, running > 0 ? wire::Phase::running : wire::Phase::queued, done, running),
+    return {live_status,
+            wire::job_answer(id, running > 0 ? wire::Phase::running : wire::Phase::queued, done, running),
             -1};
 }
 
@@ -203,12 +212,13 @@
     store_.commit(txn, Urgency::user, [this, j, id, txn, until, reply](CommitResult r) {
         if (r.outcome == Outcome::ok) {
             model_.apply({keys::job(id), txn.writes[0].value, r.revision});
-            log::info("event=job_accepted job={} class={} team={} tasks={} revision={}", id.v, j->spec.job_class,
-                      j->spec.team.v, j->spec.tasks, r.revision.v);
+            log::info("event=job_accepted job={} class={} team={} tasks={} revision={}", id.v,
+                      j->spec.job_class, j->spec.team.v, j->spec.tasks, r.revision.v);
             return reply({201, wire::job_answer(id, wire::Phase::queued), -1});
         }
         if (r.outcome == Outcome::conflict || r.outcome == Outcome::unknown) {
-            // Known already, or perhaps accepted by the commit whose answer was lost: read before anything is said.
+            // Known already, or perhaps accepted by the commit whose answer was lost: read before anything is
+            // said.
             return look_up(id, [this, j, id, until, reply](Found f) {
                 if (f.what == Found::What::none && env_.now() < until && store_.reachable())
                     return accept(j, until, reply);
--- a/src/jobs/ledger.cpp
+++ b/src/jobs/ledger.cpp
@@ -11,7 +11,8 @@
 constexpr Duration gather_places = std::chrono::milliseconds(20);
 constexpr Duration gather_releases = std::chrono::milliseconds(40);
 constexpr Duration gather_ends = std::chrono::milliseconds(250);  // a machine's room is free before that
-constexpr Duration gather_ends_scarce = std::chrono::seconds(4);  // where writes are short: fewer for the same ends
+constexpr Duration gather_ends_scarce =
+    std::chrono::seconds(4);  // where writes are short: fewer for the same ends
 constexpr Duration gather_sent = std::chrono::milliseconds(5);
 constexpr Duration home_limit = std::chrono::seconds(3);  // then the owner commits it itself
 constexpr std::size_t most_bytes = 48 * 1024;             // of a transaction, well below the service's 64 KiB
@@ -20,9 +21,14 @@
 constexpr std::size_t most_records = 60'000;              // bytes of records in a message
 }  // namespace
 
-Ledger::Ledger(Env& env, const Settings& settings, StoreClient& store, Model& model, Cluster& cluster, SendPeer send,
-               std::function<bool(const NodeName&)> near)
-    : env_(env), settings_(settings), store_(store), model_(model), cluster_(cluster), send_(std::move(send)),
+Ledger::Ledger(Env& env, const Settings& settings, StoreClient& store, Model& model, Cluster& cluster,
+               SendPeer send, std::function<bool(const NodeName&)> near)
+    : env_(env),
+      settings_(settings),
+      store_(store),
+      model_(model),
+      cluster_(cluster),
+      send_(std::move(send)),
       near_(std::move(near)) {}
 
 void Ledger::start() { take_back(); }
@@ -60,7 +66,8 @@
     return demand_;
 }
 
-// Ends don't touch the team's record and have lanes of their own: flushed with each start of their team, they were written one by one.
+// Ends don't touch the team's record and have lanes of their own: flushed with each start of their team, they
+// were written one by one.
 std::string Ledger::lane_of(const JobId& job, std::uint32_t page, TaskEvent event) const {
     const Job* j = model_.job(job);
     if (j != nullptr && event == TaskEvent::place) {
@@ -99,15 +106,16 @@
             auto it = remote_.find(ticket);
             if (it == remote_.end()) continue;
             const Op& op = it->second.op;
-            m.ops.push_back({static_cast<std::uint8_t>(op.event), op.task, op.attempt, op.machine, op.zone, op.term.v, ticket});
+            m.ops.push_back({static_cast<std::uint8_t>(op.event), op.task, op.attempt, op.machine, op.zone,
+                             op.term.v, ticket});
             if (m.ops.size() == most_sent) send_(to.first, std::exchange(m, {to.second, {}}));
         }
         if (!m.ops.empty()) send_(to.first, std::move(m));
     }
 }
 
-// A home that is gone, or cut off from us or from the state service, is not waited for: the owner commits itself. Should
-// the home do so too, one of the two commits finds the other's versions and fails.
+// A home that is gone, or cut off from us or from the state service, is not waited for: the owner commits
+// itself. Should the home do so too, one of the two commits finds the other's versions and fails.
 void Ledger::take_back() {
     env_.after(millis(250), [this] { take_back(); });
     const Mono now = env_.now();
@@ -134,7 +142,8 @@
         // The last of a job's tasks are told at once.
         auto p = j->pages.find(page);
         const std::size_t done = p != j->pages.end() ? p->second.done : 0;
-        if (done + ops.size() + 1 < model_.tasks_in(j->spec, page)) wait = store_.writes_free() > 0 ? gather_ends : gather_ends_scarce;
+        if (done + ops.size() + 1 < model_.tasks_in(j->spec, page))
+            wait = store_.writes_free() > 0 ? gather_ends : gather_ends_scarce;
     }
     ops.push_back(std::move(op));
     schedule(lane, wait);
@@ -166,7 +175,8 @@
 void Ledger::answer(const JobId& job, Op& op, bool done) {
     if (!op.from.empty()) {
         results_[op.from].push_back({op.ticket, done});
-        if (!std::exchange(results_armed_, true)) env_.after(Duration(0), [this] { send_results(nullptr, {}); });
+        if (!std::exchange(results_armed_, true))
+            env_.after(Duration(0), [this] { send_results(nullptr, {}); });
         return;
     }
     waiting_.erase({TaskRef{job, op.task}, {op.event, op.attempt}});
@@ -192,7 +202,8 @@
     for (const bool jobs : {true, false})
         for (const auto& rec : m.records) {
             const bool is_job = rec.key.rfind("z/j/", 0) == 0, is_page = rec.key.rfind("z/t/", 0) == 0;
-            if (is_job != jobs || (is_page && model_.job(JobId(rec.key.substr(4, rec.key.rfind('/') - 4))) == nullptr))
+            if (is_job != jobs ||
+                (is_page && model_.job(JobId(rec.key.substr(4, rec.key.rfind('/') - 4))) == nullptr))
                 continue;
             Item item{rec.key, std::nullopt, Revision{rec.version}};
             if (!rec.value.empty()) {
@@ -228,8 +239,8 @@
     });
 }
 
-// Lanes go in the order of their due times, and are drafted only when their writes may go: what waits for the budget
-// gathers meanwhile in the same pages, and no draft grows old in a queue.
+// Lanes go in the order of their due times, and are drafted only when their writes may go: what waits for the
+// budget gathers meanwhile in the same pages, and no draft grows old in a queue.
 void Ledger::pump() {
     for (;;) {
         const Mono now = env_.now();
@@ -288,15 +299,17 @@
     return true;
 }
 
-// The term that the commit of this operation must name; nothing when it was judged under one that is over. A peer's
-// may be newer than what the watch has brought: the commit's condition decides.
+// The term that the commit of this operation must name; nothing when it was judged under one that is over. A
+// peer's may be newer than what the watch has brought: the commit's condition decides.
 std::optional<Term> Ledger::valid_term(const Op& op, std::uint32_t part) const {
-    if (op.from.empty() ? cluster_.term(part) != op.term : model_.parts()[part].term > op.term) return std::nullopt;
+    if (op.from.empty() ? cluster_.term(part) != op.term : model_.parts()[part].term > op.term)
+        return std::nullopt;
     return op.term;
 }
 
 // `chosen`: zones of starts that are in this draft already.
-bool Ledger::zone_allowed(const Job& j, const std::string& zone, const std::map<JobId, std::string>& chosen) const {
+bool Ledger::zone_allowed(const Job& j, const std::string& zone,
+                          const std::map<JobId, std::string>& chosen) const {
     if (!j.spec.one_zone) return true;
     if (auto c = chosen.find(j.spec.id); c != chosen.end()) return c->second == zone;
     const auto bound = model_.bound_zone(j);
@@ -324,7 +337,8 @@
         // Room for this page, its job's end and the team's record.
         if (!d.taken.empty() &&
             (d.txn.writes.size() + 4 > settings_.txn_ops || d.txn.writes.size() + 2 > most_writes ||
-             d.txn.conditions.size() + parts.size() + other_pages + 6 > most_conditions || bytes > most_bytes))
+             d.txn.conditions.size() + parts.size() + other_pages + 6 > most_conditions ||
+             bytes > most_bytes))
             break;
         std::vector<Op> ops = std::move(it->second);
         lane.ops.erase(it);
@@ -340,17 +354,22 @@
             const std::uint32_t part = model_.part_of(op.machine);
             const auto term = valid_term(op, part);
             auto named = parts.find(part);
-            // Many owners at once: those whose terms don't fit among the conditions come with the next commit.
-            if (term && named == parts.end() && d.txn.conditions.size() + parts.size() + other_pages + 4 > most_conditions) {
+            // Many owners at once: those whose terms don't fit among the conditions come with the next
+            // commit.
+            if (term && named == parts.end() &&
+                d.txn.conditions.size() + parts.size() + other_pages + 4 > most_conditions) {
                 later[key].push_back(std::move(op));
                 continue;
             }
             if (j != nullptr && term && (named == parts.end() || named->second == *term) &&
-                (op.event != TaskEvent::place || zone_allowed(*j, op.zone, chosen)) && apply(*j, op, tasks, key.page, use)) {
+                (op.event != TaskEvent::place || zone_allowed(*j, op.zone, chosen)) &&
+                apply(*j, op, tasks, key.page, use)) {
                 parts.emplace(part, *term);
                 if (op.event == TaskEvent::place && j->spec.one_zone) chosen[key.job] = op.zone;
-                if (op.event != TaskEvent::place) d.urgent = true;
-                else starts = true;
+                if (op.event != TaskEvent::place)
+                    d.urgent = true;
+                else
+                    starts = true;
                 used.push_back(std::move(op));
                 continue;
             }
@@ -366,22 +385,28 @@
         d.txn.conditions.push_back({keys::job(key.job), j->version});
         const std::string page_key = keys::page(key.job, key.page);
         d.txn.conditions.push_back({page_key, model_.version(page_key)});
-        if (auto zone = chosen.find(key.job); zone != chosen.end() && zone->second != j->pinned_zone && moved.insert(key.job).second) {
-            // No task of it is on a machine, as these versions of all its pages prove; from this commit on it is bound here.
+        if (auto zone = chosen.find(key.job);
+            zone != chosen.end() && zone->second != j->pinned_zone && moved.insert(key.job).second) {
+            // No task of it is on a machine, as these versions of all its pages prove; from this commit on it
+            // is bound here.
             for (std::uint32_t n = 0; n < model_.pages_of(j->spec); ++n)
-                if (n != key.page) d.txn.conditions.push_back({keys::page(key.job, n), model_.version(keys::page(key.job, n))});
+                if (n != key.page)
+                    d.txn.conditions.push_back(
+                        {keys::page(key.job, n), model_.version(keys::page(key.job, n))});
             Job there = *j;
             there.pinned_zone = zone->second;
             d.txn.writes.push_back({keys::job(key.job), Model::encode_job(there), std::nullopt});
         }
-        const bool over = model_.pages_of(j->spec) == 1 && std::all_of(tasks.begin(), tasks.end(), [](const auto& t) {
-            return t.at == TaskState::At::done;
-        });
+        const bool over = model_.pages_of(j->spec) == 1 &&
+                          std::all_of(tasks.begin(), tasks.end(),
+                                      [](const auto& t) { return t.at == TaskState::At::done; });
         if (over && !j->cancelled) {
             // The last task's end and the job's in one commit.
-            if (model_.version(page_key) != Revision{}) d.txn.writes.push_back({page_key, std::nullopt, std::nullopt});
+            if (model_.version(page_key) != Revision{})
+                d.txn.writes.push_back({page_key, std::nullopt, std::nullopt});
             d.txn.writes.push_back({keys::job(key.job), std::nullopt, std::nullopt});
-            d.txn.writes.push_back({keys::final_state(key.job), Json{{"s", "done"}, {"n", j->spec.tasks}}, std::nullopt});
+            d.txn.writes.push_back(
+                {keys::final_state(key.job), Json{{"s", "done"}, {"n", j->spec.tasks}}, std::nullopt});
         } else {
             Json v = model_.encode_page(tasks, key.page);
             bytes += v.dump().size();
@@ -413,7 +438,8 @@
     for (const auto& w : txn.writes)
         if (w.key.rfind("z/", 0) == 0) model_.apply({w.key, w.value, r});
     for (const auto& w : txn.writes)
-        if (w.key.rfind(team_prefix, 0) == 0) model_.own_start(TeamName(w.key.substr(std::string(team_prefix).size())), r);
+        if (w.key.rfind(team_prefix, 0) == 0)
+            model_.own_start(TeamName(w.key.substr(std::string(team_prefix).size())), r);
 }
 
 void Ledger::flush(const std::string& name, std::size_t most_writes) {
@@ -421,8 +447,10 @@
     lane.due.reset();
     auto d = std::make_shared<Draft>(draft(lane, most_writes));
     if (d->taken.empty()) {
-        if (lane.ops.empty()) lanes_.erase(name);
-        else schedule(name, gather_places);
+        if (lane.ops.empty())
+            lanes_.erase(name);
+        else
+            schedule(name, gather_places);
         return;
     }
     lane.in_flight = true;
@@ -445,8 +473,10 @@
                     answer(key.job, op, true);
                 }
             send_results(&d->txn, r.revision);
-            if (!l.ops.empty()) schedule(name, l.due ? std::max(Duration(0), *l.due - env_.now()) : gather_places);
-            else lanes_.erase(name);
+            if (!l.ops.empty())
+                schedule(name, l.due ? std::max(Duration(0), *l.due - env_.now()) : gather_places);
+            else
+                lanes_.erase(name);
             return;
         }
         if (r.outcome == Outcome::conflict) ++counts_.conflicts;
--- a/src/jobs/ledger.h
+++ b/src/jobs/ledger.h
@@ -1,6 +1,6 @@
-// Commits what happens to tasks: starts before they are ordered, ends before they are told. Those of one job come
-// together at its home (Cluster::home_of), whoever owns the machines: a page of tasks that every owner wrote for itself
-// cost a conflict for each write that counted.
+// Commits what happens to tasks: starts before they are ordered, ends before they are told. Those of one job
+// come together at its home (Cluster::home_of), whoever owns the machines: a page of tasks that every owner
+// wrote for itself cost a conflict for each write that counted.
 #pragma once
 #include <functional>
 #include <map>
@@ -23,8 +23,8 @@
   public:
     using SendPeer = std::function<void(const NodeName&, wire::PeerMessage)>;
     // `near` tells whether a peer answers and reaches the state service.
-    Ledger(Env& env, const Settings& settings, StoreClient& store, Model& model, Cluster& cluster, SendPeer send,
-           std::function<bool(const NodeName&)> near);
+    Ledger(Env& env, const Settings& settings, StoreClient& store, Model& model, Cluster& cluster,
+           SendPeer send, std::function<bool(const NodeName&)> near);
     void start();
     void on_settle(const NodeName& from, const wire::Settle& m);
     void on_settled(const wire::Settled& m);
@@ -37,7 +37,8 @@
     void release(const TaskRef& t, Attempt a, const MachineId& m, const char* why);
     // An end of this attempt waits to be committed: it must not be ordered to run again meanwhile.
     bool ending(const TaskRef& t, Attempt a) const {
-        return waiting_.contains({t, {TaskEvent::finish, a}}) || waiting_.contains({t, {TaskEvent::release, a}});
+        return waiting_.contains({t, {TaskEvent::finish, a}}) ||
+               waiting_.contains({t, {TaskEvent::release, a}});
     }
     // Turns a job that is over into its final record.
     void close_job(const JobId& id);
@@ -45,7 +46,8 @@
     // How much this node has to commit, smoothed; once for each beat.
     double demand();
     struct Counts {
-        std::uint64_t commits = 0, pages = 0, starts = 0, ends = 0, conflicts = 0, sent_home = 0, taken_back = 0;
+        std::uint64_t commits = 0, pages = 0, starts = 0, ends = 0, conflicts = 0, sent_home = 0,
+                      taken_back = 0;
     };
     const Counts& counts() const { return counts_; }
 
@@ -57,20 +59,21 @@
         MachineId machine;
         std::string zone;
         const char* why = "";
-        // The term under which this was decided. Evidence gathered in one term proves nothing in another: between
-        // the two, another owner may have renewed the lease or started the task again.
+        // The term under which this was decided. Evidence gathered in one term proves nothing in another:
+        // between the two, another owner may have renewed the lease or started the task again.
         Term term;
         Mono since;
         Done done;
-        NodeName from;              // the owner that sent it here; empty: this node
-        std::uint64_t ticket = 0;   // that owner's name for it
+        NodeName from;             // the owner that sent it here; empty: this node
+        std::uint64_t ticket = 0;  // that owner's name for it
     };
     struct PageKey {
         JobId job;
         std::uint32_t page = 0;
         auto operator<=>(const PageKey&) const = default;
     };
-    // Commits of one lane go one after another: the starts of a limited team, or else what happens on one page.
+    // Commits of one lane go one after another: the starts of a limited team, or else what happens on one
+    // page.
     struct Lane {
         std::map<PageKey, std::vector<Op>> ops;
         bool in_flight = false;
@@ -101,7 +104,8 @@
     void flush(const std::string& lane, std::size_t most_writes);
     Draft draft(Lane& lane, std::size_t most_writes);
     std::optional<Term> valid_term(const Op& op, std::uint32_t part) const;
-    bool zone_allowed(const Job& j, const std::string& zone, const std::map<JobId, std::string>& chosen) const;
+    bool zone_allowed(const Job& j, const std::string& zone,
+                      const std::map<JobId, std::string>& chosen) const;
     bool apply(const Job& j, Op& op, std::vector<TaskState>& tasks, std::uint32_t page, TeamUse& use);
     void refresh(const std::string& lane, std::vector<std::string> keys);
     static std::vector<std::string> keys_of(const Txn& txn);
--- a/src/jobs/relay.cpp
+++ b/src/jobs/relay.cpp
@@ -8,18 +8,19 @@
 namespace zd {
 namespace {
 constexpr Duration gather_wait = std::chrono::milliseconds(300);  // from the first reply
-constexpr Duration asked_limit = std::chrono::seconds(4);         // a round unheard of for so long is asked again
-constexpr Duration stuck_limit = std::chrono::seconds(4);          // without room before another relay is tried
+constexpr Duration asked_limit = std::chrono::seconds(4);  // a round unheard of for so long is asked again
+constexpr Duration stuck_limit = std::chrono::seconds(4);  // without room before another relay is tried
 constexpr Duration round_memory = std::chrono::seconds(6);
-constexpr std::size_t batch = 64;           // tasks of a job in one message
-constexpr int rounds_a_tick = 8;            // what one tick may begin
+constexpr std::size_t batch = 64;  // tasks of a job in one message
+constexpr int rounds_a_tick = 8;   // what one tick may begin
 constexpr Duration kind_pause = std::chrono::milliseconds(30);
 constexpr Duration plan_apart = std::chrono::milliseconds(20);
 constexpr std::size_t jobs_a_ms = 10;  // with thousands of jobs plans are further apart: each walks them all
 constexpr Duration tick_every = std::chrono::milliseconds(100);
 
-// Jobs of one kind find room on the same machines. Their amounts vary from job to job, and are compared apart: a key
-// with the amounts in it let every waiting job of a burst ask anew, and the messages ate the controllers' processors.
+// Jobs of one kind find room on the same machines. Their amounts vary from job to job, and are compared
+// apart: a key with the amounts in it let every waiting job of a burst ask anew, and the messages ate the
+// controllers' processors.
 std::string kind_of(const Job& j) {
     std::string k = j.spec.job_class + (j.spec.spot ? "|s" : "|o");
     if (j.spec.types)
@@ -29,10 +30,16 @@
 }
 }  // namespace
 
-Relay::Relay(Env& env, const Settings& settings, StoreClient& store, Model& model, Cluster& cluster, Ledger& ledger,
-             SendPeer send, std::function<std::vector<NodeName>()> reachable)
-    : env_(env), settings_(settings), store_(store), model_(model), cluster_(cluster), ledger_(ledger),
-      send_(std::move(send)), reachable_(std::move(reachable)) {}
+Relay::Relay(Env& env, const Settings& settings, StoreClient& store, Model& model, Cluster& cluster,
+             Ledger& ledger, SendPeer send, std::function<std::vector<NodeName>()> reachable)
+    : env_(env),
+      settings_(settings),
+      store_(store),
+      model_(model),
+      cluster_(cluster),
+      ledger_(ledger),
+      send_(std::move(send)),
+      reachable_(std::move(reachable)) {}
 
 void Relay::start() { tick(); }
 
@@ -44,8 +51,8 @@
     }
     auto w = waiting_.find(id);
     if (w != waiting_.end() && std::erase_if(w->second.asked, [&](const auto& a) {
-            return model_.task({id, a.first}).at != TaskState::At::pending;
-        }) > 0)
+                                   return model_.task({id, a.first}).at != TaskState::At::pending;
+                               }) > 0)
         w->second.stuck_since = {};
     wake();
 }
@@ -54,15 +61,17 @@
     if (std::exchange(woken_, true)) return;
     // Every change of a job wakes it: each plan walks all jobs, so that they keep a distance.
     const Duration since = env_.now() - planned_;
-    const Duration apart = std::max(Duration(plan_apart), millis(static_cast<std::int64_t>(std::min<std::size_t>(model_.jobs().size() / jobs_a_ms, 250))));
+    const Duration apart = std::max(
+        Duration(plan_apart),
+        millis(static_cast<std::int64_t>(std::min<std::size_t>(model_.jobs().size() / jobs_a_ms, 250))));
     env_.after(std::max(Duration(millis(5)), apart - since), [this] {
         woken_ = false;
         plan();
     });
 }
 
-// Only those may ask again whose tasks would fit: when every end woke every waiting job, the rounds of a burst took
-// most of the controllers' processors.
+// Only those may ask again whose tasks would fit: when every end woke every waiting job, the rounds of a
+// burst took most of the controllers' processors.
 void Relay::on_freed(const wire::Freed& m) {
     std::set<std::string> kinds;
     std::erase_if(no_room_, [&](const auto& e) {
@@ -79,7 +88,8 @@
     wake();
 }
 
-// One pass for all jobs: judged one by one, each against all others, they took a quarter of a controller's share.
+// One pass for all jobs: judged one by one, each against all others, they took a quarter of a controller's
+// share.
 std::unordered_set<const Job*> Relay::within_guarantee(const Model& model) {
     std::map<TeamName, std::vector<const Job*>> by_team;
     for (const auto& [id, j] : model.jobs())
@@ -127,8 +137,10 @@
         const bool over = (j.cancelled && j.placed == 0) || j.done == j.spec.tasks;
         const bool waits = !j.cancelled && j.pending() > 0;
         if ((!over && !waits) || cluster_.relay_of(j) != settings_.node) continue;
-        if (over) ledger_.close_job(id);
-        else mine.push_back(&j);
+        if (over)
+            ledger_.close_job(id);
+        else
+            mine.push_back(&j);
     }
     if (mine.empty()) return;
     const auto guaranteed = within_guarantee(model_);
@@ -149,18 +161,20 @@
         const std::string kind = kind_of(*j);
         if (auto next = kind_next_.find(kind); next != kind_next_.end() && next->second > now) continue;
         auto closed = no_room_.find(kind);
-        if (closed != no_room_.end() && closed->second.until > now && j->spec.need.fits(closed->second.need)) continue;
+        if (closed != no_room_.end() && closed->second.until > now && j->spec.need.fits(closed->second.need))
+            continue;
         if (!ask(*j, w)) continue;
         ++begun;
         kind_next_[kind] = now + kind_pause;
     }
 }
 
-// A relay that reaches the state service but not its peers can use only its own machines: what finds no room there goes
-// to a controller that may reach more.
+// A relay that reaches the state service but not its peers can use only its own machines: what finds no room
+// there goes to a controller that may reach more.
 bool Relay::hand_over(const Job& j, Waiting& w) {
     const Mono now = env_.now();
-    if (w.stuck_since == Mono{} || now - w.stuck_since < stuck_limit || now - w.handed_over < stuck_limit) return false;
+    if (w.stuck_since == Mono{} || now - w.stuck_since < stuck_limit || now - w.handed_over < stuck_limit)
+        return false;
     auto near = reachable_();
     std::vector<NodeName> others;
     for (const auto& n : cluster_.live())
@@ -171,11 +185,13 @@
     moved.relay = Cluster::pick(j.spec.id.v, others);
     const std::string key = keys::job(j.spec.id);
     const Json value = Model::encode_job(moved);
-    store_.commit({{{key, j.version}}, {{key, value, std::nullopt}}}, Urgency::decision, [this, key, value, moved](CommitResult r) {
-        if (r.outcome != Outcome::ok) return;  // the watch tells what became of it
-        log::info("event=job_handed_over job={} to={} revision={}", moved.spec.id.v, moved.relay.v, r.revision.v);
-        model_.apply({key, value, r.revision});
-    });
+    store_.commit({{{key, j.version}}, {{key, value, std::nullopt}}}, Urgency::decision,
+                  [this, key, value, moved](CommitResult r) {
+                      if (r.outcome != Outcome::ok) return;  // the watch tells what became of it
+                      log::info("event=job_handed_over job={} to={} revision={}", moved.spec.id.v,
+                                moved.relay.v, r.revision.v);
+                      model_.apply({key, value, r.revision});
+                  });
     return true;
 }
 
@@ -196,7 +212,8 @@
             if (w.asked.contains(t)) continue;
             auto more = static_cast<TaskIndex>(tasks.size() + 1 + (gang ? 0 : w.asked.size()));
             if (!model_.team_has_room(j.spec.team, j.spec.need, more)) break;
-            if (gang && !sched::next_attempt(j, it != j.pages.end() ? it->second.tasks[i] : TaskState{})) return false;
+            if (gang && !sched::next_attempt(j, it != j.pages.end() ? it->second.tasks[i] : TaskState{}))
+                return false;
             tasks.push_back(t);
         }
     }
@@ -252,7 +269,8 @@
     std::optional<TaskIndex> per_zone;
     const Job* j = model_.job(g.job);
     if (j != nullptr && j->spec.spread) per_zone = sched::spread_limit(j->spec.tasks);
-    auto yes = sched::choose(std::move(g.offers), g.tasks, g.whole, per_zone, env_.rng(), j != nullptr && j->spec.one_zone);
+    auto yes = sched::choose(std::move(g.offers), g.tasks, g.whole, per_zone, env_.rng(),
+                             j != nullptr && j->spec.one_zone);
     g.offers.clear();
     std::set<TaskIndex> left(g.tasks.begin(), g.tasks.end());
     for (const auto& scorer : g.answered) {
--- a/src/jobs/relay.h
+++ b/src/jobs/relay.h
@@ -1,4 +1,5 @@
-// Relay and gatherer: sends the waiting tasks of this node's jobs to all scorers, and picks among their offers.
+// Relay and gatherer: sends the waiting tasks of this node's jobs to all scorers, and picks among their
+// offers.
 #pragma once
 #include <functional>
 #include <map>
@@ -18,8 +19,8 @@
 class Relay {
   public:
     using SendPeer = std::function<void(const NodeName&, wire::PeerMessage)>;
-    Relay(Env& env, const Settings& settings, StoreClient& store, Model& model, Cluster& cluster, Ledger& ledger,
-          SendPeer send, std::function<std::vector<NodeName>()> reachable);
+    Relay(Env& env, const Settings& settings, StoreClient& store, Model& model, Cluster& cluster,
+          Ledger& ledger, SendPeer send, std::function<std::vector<NodeName>()> reachable);
     void start();
     void on_job(const JobId& id);
     void on_offers(const wire::Offers& m);
@@ -75,8 +76,8 @@
         Mono until{};
     };
     std::map<std::string, Full> no_room_;
-    // When the next job of a kind may ask. One round at a time shows whether there is room at all: all waiting jobs of a
-    // burst asking at once took the whole share of the controllers' processors.
+    // When the next job of a kind may ask. One round at a time shows whether there is room at all: all
+    // waiting jobs of a burst asking at once took the whole share of the controllers' processors.
     std::map<std::string, Mono> kind_next_;
     bool woken_ = false;
     Mono planned_{};
--- a/src/loop/http.cpp
+++ b/src/loop/http.cpp
@@ -138,8 +138,8 @@
     }
 }
 
-// The whole fleet may come to one surviving controller. Whoever is idle longest makes room, so that neither a worker's
-// report nor a health check is kept waiting by connections that nobody uses.
+// The whole fleet may come to one surviving controller. Whoever is idle longest makes room, so that neither a
+// worker's report nor a health check is kept waiting by connections that nobody uses.
 bool HttpServer::make_room() {
     std::shared_ptr<Connection> longest;
     for (const auto& [fd, c] : connections_)
@@ -227,16 +227,26 @@
 namespace {
 const char* reason(int status) {
     switch (status) {
-        case 200: return "OK";
-        case 201: return "Created";
-        case 400: return "Bad Request";
-        case 404: return "Not Found";
-        case 405: return "Method Not Allowed";
-        case 413: return "Payload Too Large";
-        case 421: return "Misdirected Request";
-        case 422: return "Unprocessable Entity";
-        case 429: return "Too Many Requests";
-        default: return "Service Unavailable";
+        case 200:
+            return "OK";
+        case 201:
+            return "Created";
+        case 400:
+            return "Bad Request";
+        case 404:
+            return "Not Found";
+        case 405:
+            return "Method Not Allowed";
+        case 413:
+            return "Payload Too Large";
+        case 421:
+            return "Misdirected Request";
+        case 422:
+            return "Unprocessable Entity";
+        case 429:
+            return "Too Many Requests";
+        default:
+            return "Service Unavailable";
     }
 }
 }  // namespace
@@ -274,9 +284,10 @@
     loop_.change(c->fd.get(), EPOLLIN);
     c->wait = Connection::Wait::idle;
     c->since = loop_.now();
-    if (!c->in.empty()) loop_.after(Duration(0), [this, c] {
-        if (c->fd.valid() && !c->busy) parse(c);
-    });
+    if (!c->in.empty())
+        loop_.after(Duration(0), [this, c] {
+            if (c->fd.valid() && !c->busy) parse(c);
+        });
 }
 
 void HttpServer::close(const std::shared_ptr<Connection>& c) {
@@ -318,7 +329,8 @@
     call->done = std::move(done);
     call->text = req.method + " " + req.path + " HTTP/1.1\r\nHost: " + address + "\r\n";
     if (!req.body.empty() || req.method == "POST")
-        call->text += "Content-Type: application/json\r\nContent-Length: " + std::to_string(req.body.size()) + "\r\n";
+        call->text +=
+            "Content-Type: application/json\r\nContent-Length: " + std::to_string(req.body.size()) + "\r\n";
     call->text += "\r\n" + req.body;
     Host& host = hosts_[address];
     if (host.waiting.size() >= limits_.queue) {
@@ -345,7 +357,8 @@
         if (free == host.open.end()) {
             if (host.open.size() >= limits_.per_address) return;
             if (total_ >= limits_.connections && !make_room()) {
-                if (std::find(hungry_.begin(), hungry_.end(), address) == hungry_.end()) hungry_.push_back(address);
+                if (std::find(hungry_.begin(), hungry_.end(), address) == hungry_.end())
+                    hungry_.push_back(address);
                 return;
             }
             open(address);
--- a/src/loop/http.h
+++ b/src/loop/http.h
@@ -40,7 +40,8 @@
 
 struct ServerLimits {
     std::size_t connections = 256;
-    Duration evict_after = std::chrono::seconds(1);  // when full, one idle for so long makes room for a newcomer
+    Duration evict_after =
+        std::chrono::seconds(1);  // when full, one idle for so long makes room for a newcomer
     Duration idle = std::chrono::seconds(90);
     Duration request = std::chrono::seconds(5);  // from the first byte of a request to its last
     Duration write = std::chrono::seconds(10);   // for a peer that stops reading
@@ -77,8 +78,8 @@
     Duration idle = std::chrono::seconds(20);
 };
 
-// Calls of one kind (state service, cloud, workers): each kind has a client of its own, so that hundreds of silent
-// workers never keep a lease's renewal or a commit waiting.
+// Calls of one kind (state service, cloud, workers): each kind has a client of its own, so that hundreds of
+// silent workers never keep a lease's renewal or a commit waiting.
 class HttpClient {
   public:
     HttpClient(Loop& loop, ClientLimits limits);
--- a/src/loop/loop.cpp
+++ b/src/loop/loop.cpp
@@ -66,7 +66,8 @@
     int one = 1;
     ::setsockopt(fd.get(), IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
     sockaddr_in s = to_sockaddr(a);
-    if (::connect(fd.get(), reinterpret_cast<sockaddr*>(&s), sizeof s) != 0 && errno != EINPROGRESS) return Fd();
+    if (::connect(fd.get(), reinterpret_cast<sockaddr*>(&s), sizeof s) != 0 && errno != EINPROGRESS)
+        return Fd();
     return fd;
 }
 
--- a/src/loop/loop.h
+++ b/src/loop/loop.h
@@ -40,7 +40,7 @@
     std::uint16_t port = 0;
 };
 bool parse_address(const std::string& text, SocketAddress& out);
-Fd listen_on(const std::string& address);     // throws std::runtime_error
+Fd listen_on(const std::string& address);      // throws std::runtime_error
 Fd start_connect(const std::string& address);  // invalid when it fails at once
 
 class Loop {
--- a/src/loop/peers.cpp
+++ b/src/loop/peers.cpp
@@ -20,7 +20,10 @@
 }  // namespace
 
 PeerLinks::PeerLinks(Loop& loop, const Settings& settings, Handler handler)
-    : loop_(loop), settings_(settings), handler_(std::move(handler)), listener_(listen_on(settings.cluster_listen)) {
+    : loop_(loop),
+      settings_(settings),
+      handler_(std::move(handler)),
+      listener_(listen_on(settings.cluster_listen)) {
     for (const auto& s : settings.seeds) out_[s.node].address = s.address;
     loop_.watch(listener_.get(), EPOLLIN, [this](std::uint32_t) { accept_all(); });
 }
@@ -33,8 +36,8 @@
     const bool oversized = frame.size() > wire::max_peer_frame + wire::peer_header;
     if (oversized || o.buffer.size() + frame.size() > most_unsent) {
         if (!std::exchange(o.dropping, true))
-            log::warn("event=peer_messages_dropped to={} reason={} bytes={}", to.v, oversized ? "oversized" : "unread",
-                      o.buffer.size() + frame.size());
+            log::warn("event=peer_messages_dropped to={} reason={} bytes={}", to.v,
+                      oversized ? "oversized" : "unread", o.buffer.size() + frame.size());
         return;
     }
     o.dropping = false;
@@ -67,7 +70,8 @@
         if ((events & EPOLLIN) != 0) {
             char c;
             ssize_t n = ::recv(raw, &c, 1, 0);
-            if (n >= 0 || (errno != EAGAIN && errno != EINTR)) return hang_up(out);  // peers never answer here
+            if (n >= 0 || (errno != EAGAIN && errno != EINTR))
+                return hang_up(out);  // peers never answer here
         }
         if ((events & EPOLLOUT) != 0) {
             out.connected = true;
--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -38,10 +38,14 @@
     double low, high;
 };
 constexpr Field fields[] = {
-    {"idle_keep_s", &Policy::idle_keep_s, 0, 86400},      {"idle_keep_boots", &Policy::idle_keep_boots, 0, 100},
-    {"silent_keep_s", &Policy::silent_keep_s, 0, 86400},  {"boot_limit", &Policy::boot_limit, 1, 100},
-    {"refused_pause_s", &Policy::refused_pause_s, 1, 3600}, {"patience", &Policy::patience, 0, 100},
-    {"reserve", &Policy::reserve, 0, 100},                {"preempt_loss_s", &Policy::preempt_loss_s, 0, 86400},
+    {"idle_keep_s", &Policy::idle_keep_s, 0, 86400},
+    {"idle_keep_boots", &Policy::idle_keep_boots, 0, 100},
+    {"silent_keep_s", &Policy::silent_keep_s, 0, 86400},
+    {"boot_limit", &Policy::boot_limit, 1, 100},
+    {"refused_pause_s", &Policy::refused_pause_s, 1, 3600},
+    {"patience", &Policy::patience, 0, 100},
+    {"reserve", &Policy::reserve, 0, 100},
+    {"preempt_loss_s", &Policy::preempt_loss_s, 0, 86400},
 };
 
 }  // namespace
@@ -57,7 +61,8 @@
     luaL_requiref(L, "string", luaopen_string, 1);
     luaL_requiref(L, "table", luaopen_table, 1);
     lua_settop(L, 0);
-    lua_sethook(L, [](lua_State* l, lua_Debug*) { luaL_error(l, "runs too long"); }, LUA_MASKCOUNT, most_steps);
+    lua_sethook(
+        L, [](lua_State* l, lua_Debug*) { luaL_error(l, "runs too long"); }, LUA_MASKCOUNT, most_steps);
     if (luaL_loadbufferx(L, script.data(), script.size(), name.c_str(), "t") != LUA_OK ||
         lua_pcall(L, 0, 1, 0) != LUA_OK) {
         const char* why = lua_tostring(L, -1);
@@ -76,7 +81,8 @@
         double v = lua_type(L, -1) == LUA_TNUMBER ? lua_tonumber(L, -1) : std::nan("");
         if (!(v >= field->low && v <= field->high)) {
             std::ostringstream s;
-            s << name << ": setting '" << key << "' must be a number from " << field->low << " to " << field->high;
+            s << name << ": setting '" << key << "' must be a number from " << field->low << " to "
+              << field->high;
             throw PolicyError(s.str());
         }
         p.*(field->at) = v;
--- a/src/sched/logic.cpp
+++ b/src/sched/logic.cpp
@@ -11,14 +11,16 @@
     return t.room.fits(s.need);
 }
 
-bool worth_using(const wire::JobSpec& s, const wire::MachineType& t, const std::vector<wire::MachineType>& types) {
+bool worth_using(const wire::JobSpec& s, const wire::MachineType& t,
+                 const std::vector<wire::MachineType>& types) {
     if (s.need.gpu > 0 || t.room.gpu == 0) return true;
     return std::none_of(types.begin(), types.end(),
                         [&](const auto& o) { return o.room.gpu == 0 && type_allowed(s, o); });
 }
 
 bool yields(const wire::JobSpec& s, const Reservation& r) {
-    return s.rank > r.rank && s.shape == wire::Shape::array && s.checkpoint_s > 0 && r.save_s > 0 && s.save_s <= r.save_s;
+    return s.rank > r.rank && s.shape == wire::Shape::array && s.checkpoint_s > 0 && r.save_s > 0 &&
+           s.save_s <= r.save_s;
 }
 
 bool may_use(const wire::JobSpec& s, const Reservation& r) {
@@ -39,7 +41,8 @@
     return static_cast<double>(b.submitted.v - a.submitted.v) > apart_s * 1000;
 }
 
-bool has_less_choice(const wire::JobSpec& a, const wire::JobSpec& b, const std::vector<wire::MachineType>& types) {
+bool has_less_choice(const wire::JobSpec& a, const wire::JobSpec& b,
+                     const std::vector<wire::MachineType>& types) {
     bool less = false;
     for (const auto& t : types) {
         const bool fits_a = type_allowed(a, t) && worth_using(a, t, types);
@@ -53,12 +56,15 @@
 std::int64_t score(const Candidate& c, const Room& need, const Room& largest) {
     auto share = [](std::int64_t left, std::int64_t of) { return of > 0 ? left * 1000 / of : 0; };
     std::int64_t room = share(c.free.cpu - need.cpu, largest.cpu) + share(c.free.ram - need.ram, largest.ram);
-    if (need.gpu > 0) room += share(c.free.gpu - need.gpu, largest.gpu);
-    else room -= 4 * share(c.free.gpu, largest.gpu);  // GPUs are for those who need them
+    if (need.gpu > 0)
+        room += share(c.free.gpu - need.gpu, largest.gpu);
+    else
+        room -= 4 * share(c.free.gpu, largest.gpu);  // GPUs are for those who need them
     return (c.has_image ? 100'000 : 0) + room - 1'000'000 * std::int64_t{c.penalty};
 }
 
-std::vector<wire::Offer> rank(std::vector<Candidate>& candidates, const Room& need, std::size_t tasks, bool each_zone) {
+std::vector<wire::Offer> rank(std::vector<Candidate>& candidates, const Room& need, std::size_t tasks,
+                              bool each_zone) {
     Room largest;
     for (const auto& c : candidates) {
         largest.cpu = std::max(largest.cpu, c.total.cpu);
@@ -92,20 +98,24 @@
 
 std::map<NodeName, std::vector<wire::Assignment>> choose(std::vector<ScoredOffer> offers,
                                                          const std::vector<TaskIndex>& tasks, bool whole,
-                                                         std::optional<TaskIndex> per_zone, std::mt19937_64& rng, bool one_zone) {
+                                                         std::optional<TaskIndex> per_zone,
+                                                         std::mt19937_64& rng, bool one_zone) {
     std::shuffle(offers.begin(), offers.end(), rng);
     std::stable_sort(offers.begin(), offers.end(),
                      [](const auto& a, const auto& b) { return a.offer.score > b.offer.score; });
     if (one_zone) {
-        std::map<std::string, std::pair<std::size_t, std::int64_t>> zones;  // tasks that it takes, and their scores
+        std::map<std::string, std::pair<std::size_t, std::int64_t>>
+            zones;  // tasks that it takes, and their scores
         for (const auto& o : offers) {
             auto& [n, sum] = zones[o.offer.zone];
             if (n == tasks.size()) continue;
             ++n;
             sum += o.offer.score;
         }
-        auto best = std::max_element(zones.begin(), zones.end(), [](const auto& a, const auto& b) { return a.second < b.second; });
-        if (best != zones.end()) std::erase_if(offers, [&](const auto& o) { return o.offer.zone != best->first; });
+        auto best = std::max_element(zones.begin(), zones.end(),
+                                     [](const auto& a, const auto& b) { return a.second < b.second; });
+        if (best != zones.end())
+            std::erase_if(offers, [&](const auto& o) { return o.offer.zone != best->first; });
     }
     std::map<NodeName, std::vector<wire::Assignment>> yes;
     std::map<std::string, TaskIndex> in_zone;
--- a/src/sched/logic.h
+++ b/src/sched/logic.h
@@ -22,7 +22,8 @@
 
 bool type_allowed(const wire::JobSpec& s, const wire::MachineType& t);
 // GPUs are kept for those who need them, as long as another type would do.
-bool worth_using(const wire::JobSpec& s, const wire::MachineType& t, const std::vector<wire::MachineType>& types);
+bool worth_using(const wire::JobSpec& s, const wire::MachineType& t,
+                 const std::vector<wire::MachineType>& types);
 // May a task of this job use a machine that is reserved for a class of this rank?
 struct Reservation {
     std::string job_class;
@@ -36,19 +37,23 @@
 bool machine_allowed(const wire::JobSpec& s, const std::optional<std::string>& pin, const std::string& type,
                      const std::string& zone, bool spot);
 
-// True when `a` comes before `b` for a place that both could take: by rank, then by age. Ages closer than the clocks'
-// skew and a round of placement are no order.
+// True when `a` comes before `b` for a place that both could take: by rank, then by age. Ages closer than the
+// clocks' skew and a round of placement are no order.
 bool comes_before(const Job& a, const Job& b, double apart_s);
 
-// True when `a` has fewer kinds of machines to go to than `b`: what fits few types goes first there, and leaves the
-// rest to those that have a choice. By the types alone, GPU machines not counted where others would do.
-bool has_less_choice(const wire::JobSpec& a, const wire::JobSpec& b, const std::vector<wire::MachineType>& types);
+// True when `a` has fewer kinds of machines to go to than `b`: what fits few types goes first there, and
+// leaves the rest to those that have a choice. By the types alone, GPU machines not counted where others
+// would do.
+bool has_less_choice(const wire::JobSpec& a, const wire::JobSpec& b,
+                     const std::vector<wire::MachineType>& types);
 
 // Holders of the image first, then the most free room once the task is there.
 std::int64_t score(const Candidate& c, const Room& need, const Room& largest);
 
-// Up to `tasks` offers, best first, or up to so many from each zone; the room of each is taken from the candidates.
-std::vector<wire::Offer> rank(std::vector<Candidate>& candidates, const Room& need, std::size_t tasks, bool each_zone = false);
+// Up to `tasks` offers, best first, or up to so many from each zone; the room of each is taken from the
+// candidates.
+std::vector<wire::Offer> rank(std::vector<Candidate>& candidates, const Room& need, std::size_t tasks,
+                              bool each_zone = false);
 
 // Tasks of a `spread` job that one zone may hold: of these tasks, and of those on one page.
 TaskIndex spread_limit(TaskIndex tasks);
@@ -57,12 +62,12 @@
     wire::Offer offer;
     NodeName scorer;
 };
-// The gatherer's choice: top scores, ties at random. A gang gets all or nothing. For a job of one zone it is the zone that
-// can take most of the tasks, and of those the one with the best scores.
+// The gatherer's choice: top scores, ties at random. A gang gets all or nothing. For a job of one zone it is
+// the zone that can take most of the tasks, and of those the one with the best scores.
 std::map<NodeName, std::vector<wire::Assignment>> choose(std::vector<ScoredOffer> offers,
                                                          const std::vector<TaskIndex>& tasks, bool whole,
-                                                         std::optional<TaskIndex> per_zone, std::mt19937_64& rng,
-                                                         bool one_zone = false);
+                                                         std::optional<TaskIndex> per_zone,
+                                                         std::mt19937_64& rng, bool one_zone = false);
 
 // What a gang's tasks may do next.
 struct GangState {
--- a/src/store/model.cpp
+++ b/src/store/model.cpp
@@ -26,7 +26,8 @@
 
 Model::Model(const Settings& settings) : settings_(settings), parts_(settings.size) {
     auto bytes = static_cast<std::size_t>(settings.value_kb * 1024);
-    page_size_ = static_cast<std::uint32_t>(std::clamp<std::size_t>((bytes - page_overhead) / entry_bytes, 8, 400));
+    page_size_ =
+        static_cast<std::uint32_t>(std::clamp<std::size_t>((bytes - page_overhead) / entry_bytes, 8, 400));
 }
 
 void Model::clear() {
@@ -157,7 +158,8 @@
         if (v.contains("p"))
             for (const auto& e : v["p"]) {
                 TaskState& t = slot(e);
-                t = {TaskState::At::placed, e.at(1).get<Attempt>(), MachineId(e.at(2).get<std::string>()), ""};
+                t = {TaskState::At::placed, e.at(1).get<Attempt>(), MachineId(e.at(2).get<std::string>()),
+                     ""};
                 if (e.size() > 3) t.zone = e.at(3).get<std::string>();
             }
         if (v.contains("t"))
@@ -210,8 +212,10 @@
         apply_page(k.substr(4), item);
     } else if (k.rfind("z/n/", 0) == 0) {
         NodeName n(k.substr(4));
-        if (item.value) nodes_[n] = item.version;
-        else nodes_.erase(n);
+        if (item.value)
+            nodes_[n] = item.version;
+        else
+            nodes_.erase(n);
         if (on_cluster) on_cluster();
     } else if (k.rfind("z/p/", 0) == 0) {
         std::size_t part = 0;
@@ -267,15 +271,18 @@
     const bool was = j.cancelled;
     j = std::move(*decoded);
     j.version = item.version;
-    if (j.cancelled) called_off_.insert(id);
-    else j.cancelled = called_off_.contains(id);
+    if (j.cancelled)
+        called_off_.insert(id);
+    else
+        j.cancelled = called_off_.contains(id);
     if (on_job) on_job(id);
     if (j.cancelled && !was && on_cancelled) on_cancelled(id);
 }
 
 void Model::call_off(const JobId& id) {
     if (!called_off_.insert(id).second) return;
-    if (called_off_.size() > most_called_off) std::erase_if(called_off_, [&](const auto& c) { return !jobs_.contains(c); });
+    if (called_off_.size() > most_called_off)
+        std::erase_if(called_off_, [&](const auto& c) { return !jobs_.contains(c); });
     auto j = jobs_.find(id);
     if (j == jobs_.end() || j->second.cancelled) return;
     j->second.cancelled = true;
@@ -296,8 +303,9 @@
         return;  // pages go with their job
     }
     if (it == jobs_.end()) {
-        // Perhaps only its job is still to come: a list's later answers are newer than its first ones, and the watch brings
-        // both from there on. Kept as known, the page was skipped when it came again, and its tasks were taken for pending.
+        // Perhaps only its job is still to come: a list's later answers are newer than its first ones, and
+        // the watch brings both from there on. Kept as known, the page was skipped when it came again, and
+        // its tasks were taken for pending.
         versions_.erase(item.key);
         present_.erase(item.key);
         orphans_.insert(item.key);
--- a/src/store/model.h
+++ b/src/store/model.h
@@ -70,8 +70,8 @@
     // Takes over what was read under `key`; older than what is known: ignored.
     void apply(const Item& item);
     void clear();
-    // A job is known to be cancelled, though this node has not read it: a controller that told its user says so. What is
-    // marked stays so, whatever older versions of the record come.
+    // A job is known to be cancelled, though this node has not read it: a controller that told its user says
+    // so. What is marked stays so, whatever older versions of the record come.
     void call_off(const JobId& id);
 
     const Job* job(const JobId& id) const;
@@ -81,9 +81,10 @@
     const std::unordered_map<MachineId, std::set<TaskRef>>& machines() const { return by_machine_; }
     const std::vector<Part>& parts() const { return parts_; }
     const std::map<NodeName, Revision>& nodes() const { return nodes_; }
-    // What a team's tasks take: never less than what is on machines, so that a start judged by it, on condition of the
-    // record's version, keeps the limit. The record is changed by starts alone; where all that came before its version is
-    // known here, the tasks placed are counted instead, and what has ended since is free.
+    // What a team's tasks take: never less than what is on machines, so that a start judged by it, on
+    // condition of the record's version, keeps the limit. The record is changed by starts alone; where all
+    // that came before its version is known here, the tasks placed are counted instead, and what has ended
+    // since is free.
     TeamUse team(const TeamName& t) const;
     // The record's version is of a commit of ours, whose pages are in the model as well.
     void own_start(const TeamName& t, Revision r) { own_starts_[t] = r; }
@@ -94,10 +95,12 @@
     const wire::MachineType* type(const std::string& name) const;
     Revision version(const std::string& key) const;
 
-    // The zone that a one-zone job's next start must be in. While none of its tasks is on a machine, by proof, any will do:
-    // the commit of its first start names the zone, on condition that no page shows a task placed.
+    // The zone that a one-zone job's next start must be in. While none of its tasks is on a machine, by
+    // proof, any will do: the commit of its first start names the zone, on condition that no page shows a
+    // task placed.
     std::optional<std::string> bound_zone(const Job& j) const {
-        const bool free = j.spec.one_zone && !j.spec.zone && j.placed == 0 && pages_of(j.spec) <= most_free_pages;
+        const bool free =
+            j.spec.one_zone && !j.spec.zone && j.placed == 0 && pages_of(j.spec) <= most_free_pages;
         return free ? std::nullopt : j.pinned_zone;
     }
     static constexpr std::uint32_t most_free_pages = 4;  // all are named in the commit's conditions
@@ -107,12 +110,14 @@
     TaskIndex tasks_in(const wire::JobSpec& s, std::uint32_t page) const;
     std::vector<TaskState> page_tasks(const Job& j, std::uint32_t page) const;
     Json encode_page(const std::vector<TaskState>& tasks, std::uint32_t page) const;
-    std::optional<std::vector<TaskState>> decode_page(const Json& v, const wire::JobSpec& s, std::uint32_t page) const;
+    std::optional<std::vector<TaskState>> decode_page(const Json& v, const wire::JobSpec& s,
+                                                      std::uint32_t page) const;
     static Json encode_job(const Job& j);
     static std::optional<Job> decode_job(const Json& v);
 
-    // Images of the tasks placed on a machine, as far back as its cache reaches. Every controller knows them of every
-    // machine: what only the owner had seen was lost with it, and gangs waited for fetches of what lay there already.
+    // Images of the tasks placed on a machine, as far back as its cache reaches. Every controller knows them
+    // of every machine: what only the owner had seen was lost with it, and gangs waited for fetches of what
+    // lay there already.
     bool holds_image(const MachineId& m, const std::string& image, double cache_gb) const;
     // Calls `fn` with each.
     template <class Fn>
@@ -132,13 +137,13 @@
     // Pages whose job is over; their keys may be deleted.
     const std::set<std::string>& orphans() const { return orphans_; }
 
-    std::function<void(const JobId&)> on_job;  // a job or one of its pages changed
+    std::function<void(const JobId&)> on_job;         // a job or one of its pages changed
     std::function<void(const MachineId&)> on_placed;  // what is placed on a machine changed
     std::function<void(const JobId&)> on_cancelled;   // a job became known to be cancelled
-    std::function<void()> on_jobs;   // a job came or went
-    std::function<void()> on_cluster;          // nodes, parts or supplier changed
+    std::function<void()> on_jobs;                    // a job came or went
+    std::function<void()> on_cluster;                 // nodes, parts or supplier changed
     bool work_waits() const;
-    Revision seen;                             // everything up to this revision has been read
+    Revision seen;  // everything up to this revision has been read
 
   private:
     void apply_job(const JobId& id, const Item& item);
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -8,20 +8,28 @@
 namespace {
 constexpr Duration normal_timeout = std::chrono::milliseconds(1500);
 constexpr Duration queue_limit = std::chrono::milliseconds(2500);
-constexpr Duration watch_hold = std::chrono::seconds(2);  // an answer says that nothing was missed: see Horizon
+constexpr Duration watch_hold =
+    std::chrono::seconds(2);  // an answer says that nothing was missed: see Horizon
 constexpr std::size_t most_queued = 400;
 constexpr double user_read_share = 0.25;  // of the requests
-constexpr double writes_kept = 1.0;       // not spent on starts and ends, so that a submission need not wait for them
+constexpr double writes_kept =
+    1.0;  // not spent on starts and ends, so that a submission need not wait for them
 
 Outcome outcome_of(int status) {
     switch (status) {
-        case 200: return Outcome::ok;
-        case 404: return Outcome::not_found;
-        case 409: return Outcome::conflict;
+        case 200:
+            return Outcome::ok;
+        case 404:
+            return Outcome::not_found;
+        case 409:
+            return Outcome::conflict;
         case 429:
-        case 503: return Outcome::refused;
-        case 0: return Outcome::unknown;
-        default: return status >= 500 ? Outcome::unknown : Outcome::invalid;
+        case 503:
+            return Outcome::refused;
+        case 0:
+            return Outcome::unknown;
+        default:
+            return status >= 500 ? Outcome::unknown : Outcome::invalid;
     }
 }
 
@@ -39,8 +47,10 @@
 }  // namespace
 
 bool TokenBucket::has(Mono now, double n) {
-    if (!last_) tokens_ = rate_;
-    else tokens_ = std::min(rate_, tokens_ + rate_ * to_s(now - *last_));
+    if (!last_)
+        tokens_ = rate_;
+    else
+        tokens_ = std::min(rate_, tokens_ + rate_ * to_s(now - *last_));
     last_ = now;
     // A request larger than the whole bucket goes when the bucket is full, and leaves a debt.
     return tokens_ >= std::min(n, rate_) - 1e-9;
@@ -101,7 +111,8 @@
             }
             const bool reserved = &q == &queues_[static_cast<std::size_t>(Urgency::user)] && r.writes == 0 &&
                                   user_reads_.has(now, 1);
-            const bool one = reserved || requests_.has(now, 1), two = r.writes == 0 || writes_.has(now, r.writes);
+            const bool one = reserved || requests_.has(now, 1),
+                       two = r.writes == 0 || writes_.has(now, r.writes);
             if (!one || !two) {
                 Duration wait = std::max(one ? Duration(0) : requests_.until(1),
                                          two ? Duration(0) : writes_.until(r.writes));
@@ -110,7 +121,8 @@
                         timer_ = 0;
                         pump();
                     });
-                break;  // what is less urgent may still go: out of writes reads can, and users' reads have their share
+                break;  // what is less urgent may still go: out of writes reads can, and users' reads have
+                        // their share
             }
             (reserved ? user_reads_ : requests_).take(1);
             if (r.writes > 0) writes_.take(r.writes);
@@ -159,22 +171,24 @@
                }});
 }
 
-void StoreClient::list(const std::string& prefix, const std::string& after, std::function<void(ListResult)> done) {
+void StoreClient::list(const std::string& prefix, const std::string& after,
+                       std::function<void(ListResult)> done) {
     std::string path = "/store?prefix=" + prefix + "&most=1000";
     if (!after.empty()) path += "&after=" + after;
-    submit(Urgency::lease, {{"GET", path, ""}, 0, seconds(4), {}, [done = std::move(done)](HttpResponse h) {
-                                ListResult r;
-                                r.outcome = outcome_of(h.status);
-                                Json j = parsed(h, r.outcome);
-                                if (r.outcome == Outcome::ok) {
-                                    r.revision = revision_in(j, "epoch");
-                                    r.more = j.value("has_next", false);
-                                    for (auto& e : j.value("items", Json::array()))
-                                        r.items.push_back({e.value("key", ""), std::move(e["value"]),
-                                                           revision_in(e, "stamp")});
-                                }
-                                done(std::move(r));
-                            }});
+    submit(
+        Urgency::lease,
+        {{"GET", path, ""}, 0, seconds(4), {}, [done = std::move(done)](HttpResponse h) {
+             ListResult r;
+             r.outcome = outcome_of(h.status);
+             Json j = parsed(h, r.outcome);
+             if (r.outcome == Outcome::ok) {
+                 r.revision = revision_in(j, "epoch");
+                 r.more = j.value("has_next", false);
+                 for (auto& e : j.value("items", Json::array()))
+                     r.items.push_back({e.value("key", ""), std::move(e["value"]), revision_in(e, "stamp")});
+             }
+             done(std::move(r));
+         }});
 }
 
 bool StoreClient::fits(const Txn& txn) const {
@@ -225,28 +239,29 @@
     requests_.has(env_.now(), 1);
     requests_.take(1);
     ++counts_.watches;
-    env_.http(settings_.state, {"GET", path, ""}, hold + (at_once ? normal_timeout : seconds(5)), [this, done = std::move(done)](HttpResponse h) {
-        counts_.news_bytes += h.body.size();
-        ListResult r;
-        r.outcome = outcome_of(h.status);
-        r.too_old = h.status == 410;
-        Json j = parsed(h, r.outcome);
-        if (r.outcome == Outcome::ok) {
-            r.revision = revision_in(j, "epoch");
-            for (auto& e : j.value("news", Json::array())) {
-                Item i;
-                i.version = revision_in(e, "stamp");
-                if (e.contains("set")) {
-                    i.key = e.value("set", "");
-                    i.value = std::move(e["value"]);
-                } else {
-                    i.key = e.value("delete", "");
-                }
-                r.items.push_back(std::move(i));
-            }
-        }
-        done(std::move(r));
-    });
+    env_.http(settings_.state, {"GET", path, ""}, hold + (at_once ? normal_timeout : seconds(5)),
+              [this, done = std::move(done)](HttpResponse h) {
+                  counts_.news_bytes += h.body.size();
+                  ListResult r;
+                  r.outcome = outcome_of(h.status);
+                  r.too_old = h.status == 410;
+                  Json j = parsed(h, r.outcome);
+                  if (r.outcome == Outcome::ok) {
+                      r.revision = revision_in(j, "epoch");
+                      for (auto& e : j.value("news", Json::array())) {
+                          Item i;
+                          i.version = revision_in(e, "stamp");
+                          if (e.contains("set")) {
+                              i.key = e.value("set", "");
+                              i.value = std::move(e["value"]);
+                          } else {
+                              i.key = e.value("delete", "");
+                          }
+                          r.items.push_back(std::move(i));
+                      }
+                  }
+                  done(std::move(r));
+              });
 }
 
 void StoreClient::grant(Duration life, std::function<void(Outcome, std::uint64_t)> done) {
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -21,11 +21,11 @@
 
 enum class Outcome : std::uint8_t {
     ok,
-    conflict,   // a condition did not hold: nothing was done
+    conflict,  // a condition did not hold: nothing was done
     not_found,
-    refused,    // surely not executed: over budget, or the service said 429 or 503
-    unknown,    // no answer: may have been executed, or may yet be
-    invalid     // 400 and the like: asking again cannot help
+    refused,  // surely not executed: over budget, or the service said 429 or 503
+    unknown,  // no answer: may have been executed, or may yet be
+    invalid   // 400 and the like: asking again cannot help
 };
 
 struct Condition {
@@ -93,10 +93,11 @@
     bool reachable() const { return fails_ < 2; }
     // For how long it has not answered.
     Duration lost_for();
-    // Parts of the budgets that this node may spend: of the requests one by the number of nodes that are up, of the
-    // writes by what it has to commit against its peers.
+    // Parts of the budgets that this node may spend: of the requests one by the number of nodes that are up,
+    // of the writes by what it has to commit against its peers.
     void set_share(double requests, double writes);
-    // How many writes may go at once, a few left over for submissions and sessions; and when that will be more.
+    // How many writes may go at once, a few left over for submissions and sessions; and when that will be
+    // more.
     std::size_t writes_free();
     Duration writes_free_in(std::size_t n);
     bool fits(const Txn& txn) const;
@@ -120,7 +121,8 @@
     Env& env_;
     const Settings& settings_;
     TokenBucket requests_, writes_;
-    // Users' reads have a share of their own: no burst of other work may keep every question about a job unanswered.
+    // Users' reads have a share of their own: no burst of other work may keep every question about a job
+    // unanswered.
     TokenBucket user_reads_;
     std::array<std::deque<Request>, urgencies> queues_;
     Counts counts_;
--- a/src/supply/plan.cpp
+++ b/src/supply/plan.cpp
@@ -16,10 +16,12 @@
 constexpr std::size_t most_apart = 64;           // demands planned one by one
 constexpr double amounts_alike = 1.15, patience_alike_s = 10;
 
-double fetch_time(const wire::JobSpec& s, const wire::MachineType& t) { return s.image_gb / t.fetch_gb_per_s; }
+double fetch_time(const wire::JobSpec& s, const wire::MachineType& t) {
+    return s.image_gb / t.fetch_gb_per_s;
+}
 
-// The slots that one demand may use, the soonest first. Looked up once for all of its tasks: a search through all
-// machines for each task took a third of a controller's share at nine hundred of them.
+// The slots that one demand may use, the soonest first. Looked up once for all of its tasks: a search through
+// all machines for each task took a third of a controller's share at nine hundred of them.
 class Openings {
   public:
     Openings(std::vector<Bin>& bins, const Demand& d, const std::vector<wire::MachineType>& types)
@@ -46,7 +48,8 @@
             Bin& bin = bins_[e.bin];
             const bool first = !std::exchange(bin.used, true);
             slot.room -= demand_.spec->need;
-            bin.slots.push_back({e.free_at + demand_.run_s + (first ? fetch_time(*demand_.spec, *e.type) : 0), demand_.spec->need});
+            bin.slots.push_back({e.free_at + demand_.run_s + (first ? fetch_time(*demand_.spec, *e.type) : 0),
+                                 demand_.spec->need});
             add(bin.slots.back(), e.bin, bin.slots.size() - 1, e.type);
             return true;
         }
@@ -89,14 +92,18 @@
 
 std::vector<Demand> merge(std::vector<Demand> demands) {
     if (demands.size() <= most_apart) return demands;
-    auto step = [](std::int64_t v) { return v <= 0 ? 0 : static_cast<int>(std::log(static_cast<double>(v)) / std::log(amounts_alike)); };
+    auto step = [](std::int64_t v) {
+        return v <= 0 ? 0 : static_cast<int>(std::log(static_cast<double>(v)) / std::log(amounts_alike));
+    };
     std::vector<Demand> out;
     std::map<std::string, std::size_t> at;
     for (const auto& d : demands) {
         const wire::JobSpec& s = *d.spec;
-        std::string key = s.job_class + "|" + std::to_string(static_cast<int>(s.rank)) + (s.spot ? "s" : "o") + "@" + d.pin.value_or("") + "@" +
-                          s.zone.value_or("") + "|" + std::to_string(step(s.need.cpu)) + "," + std::to_string(step(s.need.gpu)) + "," +
-                          std::to_string(step(s.need.ram)) + "," + std::to_string(static_cast<int>(d.patience_s / patience_alike_s));
+        std::string key = s.job_class + "|" + std::to_string(static_cast<int>(s.rank)) +
+                          (s.spot ? "s" : "o") + "@" + d.pin.value_or("") + "@" + s.zone.value_or("") + "|" +
+                          std::to_string(step(s.need.cpu)) + "," + std::to_string(step(s.need.gpu)) + "," +
+                          std::to_string(step(s.need.ram)) + "," +
+                          std::to_string(static_cast<int>(d.patience_s / patience_alike_s));
         if (s.types)
             for (const auto& t : *s.types) key += "," + t;
         auto [it, fresh] = at.emplace(key, out.size());
@@ -132,7 +139,8 @@
         double soonest = std::numeric_limits<double>::max();
         for (const auto& t : *in.types)
             if (sched::type_allowed(*d.spec, t)) soonest = std::min(soonest, t.boot_s);
-        if (soonest < std::numeric_limits<double>::max()) d.patience_s = std::max(d.patience_s, soonest + 0.1);
+        if (soonest < std::numeric_limits<double>::max())
+            d.patience_s = std::max(d.patience_s, soonest + 0.1);
         TaskIndex left = d.tasks;
         if (left == 0 || considered >= most_considered) continue;
         Openings openings(in.bins, d, *in.types);
@@ -150,16 +158,22 @@
             for (const auto& t : *in.types) {
                 if (!sched::type_allowed(*d.spec, t) || !sched::worth_using(*d.spec, t, *in.types)) continue;
                 auto many = static_cast<std::int64_t>(left);
-                auto at_once = [&](std::int64_t has, std::int64_t need) { return need > 0 ? has / need : many; };
-                std::int64_t side = std::min({at_once(t.room.cpu, d.spec->need.cpu), at_once(t.room.gpu, d.spec->need.gpu),
-                                              at_once(t.room.ram, d.spec->need.ram)});
+                auto at_once = [&](std::int64_t has, std::int64_t need) {
+                    return need > 0 ? has / need : many;
+                };
+                std::int64_t side =
+                    std::min({at_once(t.room.cpu, d.spec->need.cpu), at_once(t.room.gpu, d.spec->need.gpu),
+                              at_once(t.room.ram, d.spec->need.ram)});
                 double turns = std::max(1.0, 1 + (d.patience_s - t.boot_s) / std::max(1.0, d.run_s));
                 double takes = std::min(static_cast<double>(many), static_cast<double>(side) * turns);
-                double hours = t.boot_s + fetch_time(*d.spec, t) + d.run_s * std::max(1.0, takes / static_cast<double>(side));
+                double hours = t.boot_s + fetch_time(*d.spec, t) +
+                               d.run_s * std::max(1.0, takes / static_cast<double>(side));
                 for (const auto& z : t.zones)
                     for (bool spot : {true, false}) {
                         Kind k{t.name, z, spot};
-                        if (!sched::machine_allowed(*d.spec, d.pin, t.name, z, spot) || in.refused.contains(k)) continue;
+                        if (!sched::machine_allowed(*d.spec, d.pin, t.name, z, spot) ||
+                            in.refused.contains(k))
+                            continue;
                         double cost = (spot ? t.spot_price : t.price) * hours / takes;
                         if (cost < least) {
                             least = cost;
@@ -171,8 +185,15 @@
             if (!best) break;
             ++plan.rent[*best];
             ++rented;
-            in.bins.push_back({MachineId(), best->type, best->zone, best->spot, {{best_type->boot_s, best_type->room}}, true, {}});
-            // Nothing is there sooner than a boot takes: what is rented for this task serves it however patient it is.
+            in.bins.push_back({MachineId(),
+                               best->type,
+                               best->zone,
+                               best->spot,
+                               {{best_type->boot_s, best_type->room}},
+                               true,
+                               {}});
+            // Nothing is there sooner than a boot takes: what is rented for this task serves it however
+            // patient it is.
             openings.add_bin(in.bins.size() - 1);
             if (!openings.place(std::max(d.patience_s, best_type->boot_s + 0.1))) break;
             --left;
--- a/src/supply/plan.h
+++ b/src/supply/plan.h
@@ -31,7 +31,7 @@
     const wire::JobSpec* spec = nullptr;
     std::optional<std::string> pin;
     TaskIndex tasks = 0;
-    double run_s = 0;    // expected, fetch of the image not counted
+    double run_s = 0;       // expected, fetch of the image not counted
     double patience_s = 0;  // how much longer its tasks may wait for their start
 };
 struct Kind {
--- a/src/supply/supply.cpp
+++ b/src/supply/supply.cpp
@@ -9,18 +9,24 @@
 namespace zd {
 namespace {
 constexpr Duration tick_every = std::chrono::milliseconds(500);
-constexpr std::size_t most_returned = 100;  // machines in one call, by the protocol
-constexpr std::uint32_t most_rented = 50;   // likewise
-constexpr std::size_t most_told = 1000;     // machines in one message to a peer
+constexpr std::size_t most_returned = 100;   // machines in one call, by the protocol
+constexpr std::uint32_t most_rented = 50;    // likewise
+constexpr std::size_t most_told = 1000;      // machines in one message to a peer
 constexpr std::size_t many_machines = 1500;  // from here on plans are made half as often
-constexpr double gang_patience_s = 15;  // before machines are kept for a gang
+constexpr double gang_patience_s = 15;       // before machines are kept for a gang
 constexpr Duration fresh_beat = std::chrono::seconds(3);
 }  // namespace
 
 Supply::Supply(Env& env, const Settings& settings, const Policy& policy, StoreClient& store, Model& model,
                Cluster& cluster, CloudClient& cloud, SendPeer send)
-    : env_(env), settings_(settings), policy_(policy), store_(store), model_(model), cluster_(cluster),
-      cloud_(cloud), send_(std::move(send)) {}
+    : env_(env),
+      settings_(settings),
+      policy_(policy),
+      store_(store),
+      model_(model),
+      cluster_(cluster),
+      cloud_(cloud),
+      send_(std::move(send)) {}
 
 void Supply::start() { tick(); }
 
@@ -35,7 +41,8 @@
             continue;
         }
         known_[m.id] = {m, from, now};
-        // A machine that reports is there, whatever the lagging list says: unexpected ones are used or returned.
+        // A machine that reports is there, whatever the lagging list says: unexpected ones are used or
+        // returned.
         if (m.silent || m.address.empty()) continue;
         auto [it, fresh] = rented_.try_emplace(m.id);
         Rented& r = it->second;
@@ -59,7 +66,8 @@
         active_ = noted_ = false;
         drained_.clear();
         placed_since_.clear();
-        // Any node may learn the machine types once, so that a first submission need not wait for an election.
+        // Any node may learn the machine types once, so that a first submission need not wait for an
+        // election.
         return;
     }
     if (!active_) {
@@ -75,7 +83,8 @@
         list_due_ = now + seconds(std::max({2.0, 2.0 / settings_.cloud_rps, settings_.list_lag_s / 3}));
         read_list("", {});
     }
-    std::erase_if(gone_, [&](const auto& g) { return now - g.second > seconds(settings_.list_lag_s * 3 + 30); });
+    std::erase_if(gone_,
+                  [&](const auto& g) { return now - g.second > seconds(settings_.list_lag_s * 3 + 30); });
     std::erase_if(known_, [&](const auto& k) { return now - k.second.at > seconds(60); });
     if (listed_) {
         if (!drained_.empty()) {
@@ -131,9 +140,11 @@
         }
         listed_ = true;
         tell_sighted();
-        // Not listed long after it was: gone. The list proves nothing about its tasks, only what we may count on.
+        // Not listed long after it was: gone. The list proves nothing about its tasks, only what we may count
+        // on.
         std::erase_if(rented_, [&](const auto& r) {
-            return !seen.contains(r.first) && now - r.second.last_listed > seconds(settings_.list_lag_s * 3 + 5) &&
+            return !seen.contains(r.first) &&
+                   now - r.second.last_listed > seconds(settings_.list_lag_s * 3 + 5) &&
                    now - r.second.first_seen > seconds(settings_.list_lag_s * 3 + 5);
         });
     });
@@ -169,8 +180,8 @@
     std::vector<MachineId> silent, slow, failed;
     const WallMs wall = env_.wall();
     auto give_up = [&](const wire::MachineBeat& b) {
-        // Out of touch beyond its lease: its tasks are lost anyway, but a cut may still end. One that its present
-        // owner never heard can't be proven empty but by its return.
+        // Out of touch beyond its lease: its tasks are lost anyway, but a cut may still end. One that its
+        // present owner never heard can't be proven empty but by its return.
         const double keep_s = b.address.empty() ? 3 : policy_.silent_keep_s;
         return b.silent && b.silent_ms > (settings_.lease_s + keep_s) * 1000;
     };
@@ -203,8 +214,8 @@
             }
             bin.slots.push_back({0, free});
         } else if (r.phase == wire::MachinePhase::running) {
-            // Up by the cloud's word: not slow to boot, whatever its age. After an election or a restart its owner may
-            // not have heard it yet; one that nobody hears for long can't be used and is returned.
+            // Up by the cloud's word: not slow to boot, whatever its age. After an election or a restart its
+            // owner may not have heard it yet; one that nobody hears for long can't be used and is returned.
             if (r.unheard_since == Mono{}) r.unheard_since = now;
             if (!r.ever_up && now - r.unheard_since > seconds(settings_.lease_s + policy_.silent_keep_s + 10))
                 silent.push_back(id);
@@ -229,7 +240,8 @@
     for (const auto& [kind, n] : renting_) {
         const auto* type = model_.type(kind.type);
         for (std::uint32_t i = 0; type != nullptr && i < n; ++i)
-            in.bins.push_back({MachineId(), kind.type, kind.zone, kind.spot, {{type->boot_s, type->room}}, false, {}});
+            in.bins.push_back(
+                {MachineId(), kind.type, kind.zone, kind.spot, {{type->boot_s, type->room}}, false, {}});
     }
     for (const auto& [kind, until] : refused_until_)
         if (until > now) in.refused.insert(kind);
@@ -249,8 +261,10 @@
         if (fresh) u->second = model_.team(j->spec.team);
         // What the team's limit keeps waiting needs no machine yet.
         auto n = static_cast<std::int64_t>(j->pending());
-        if (t->cpu_max > 0 && j->spec.need.cpu > 0) n = std::min(n, (t->cpu_max - u->second.cpu) / j->spec.need.cpu);
-        if (t->gpu_max > 0 && j->spec.need.gpu > 0) n = std::min(n, (t->gpu_max - u->second.gpu) / j->spec.need.gpu);
+        if (t->cpu_max > 0 && j->spec.need.cpu > 0)
+            n = std::min(n, (t->cpu_max - u->second.cpu) / j->spec.need.cpu);
+        if (t->gpu_max > 0 && j->spec.need.gpu > 0)
+            n = std::min(n, (t->gpu_max - u->second.gpu) / j->spec.need.gpu);
         if (n <= 0) continue;
         u->second.cpu += n * j->spec.need.cpu;
         u->second.gpu += n * j->spec.need.gpu;
@@ -280,11 +294,14 @@
                     rent(kind, std::min(left, most_rented));
     for (auto& [id, r] : rented_) {
         auto k = known_.find(id);
-        if (r.returning || k == known_.end() || now - k->second.at > fresh_beat || p.wanted.contains(id)) continue;
+        if (r.returning || k == known_.end() || now - k->second.at > fresh_beat || p.wanted.contains(id))
+            continue;
         const auto& b = k->second.beat;
         if (b.silent || b.busy_tasks > 0 || now - r.drain_asked < seconds(2)) continue;
         const auto* type = model_.type(r.type);
-        double keep_s = type != nullptr ? std::max(policy_.idle_keep_s, type->boot_s * policy_.idle_keep_boots) : policy_.idle_keep_s;
+        double keep_s = type != nullptr
+                            ? std::max(policy_.idle_keep_s, type->boot_s * policy_.idle_keep_boots)
+                            : policy_.idle_keep_s;
         if (b.idle_ms < keep_s * 1000) continue;
         r.drain_asked = now;
         send_(k->second.owner, wire::Drain{id});
@@ -294,8 +311,9 @@
     if (!failed.empty()) give_back(std::move(failed), "failed");
 }
 
-// A gang starts whole or not at all: behind smaller work that takes each place as it comes free it would wait for ever.
-// One that has waited too long gets machines of its own, which come free one after another; the longest waiting first.
+// A gang starts whole or not at all: behind smaller work that takes each place as it comes free it would wait
+// for ever. One that has waited too long gets machines of its own, which come free one after another; the
+// longest waiting first.
 void Supply::reserve_for_gangs(supply::PlanInput& in, std::map<MachineId, sched::Reservation>& chosen) {
     std::vector<const Job*> late;
     const WallMs wall = env_.wall();
@@ -309,29 +327,34 @@
         return a->submitted < b->submitted;
     });
     if (late.empty()) return;
-    // Not more than a quarter of what there is stands still for them at once, but always enough for the first.
+    // Not more than a quarter of what there is stands still for them at once, but always enough for the
+    // first.
     std::size_t left = std::max<std::size_t>(in.bins.size() / 4, late.front()->spec.tasks);
     // What is kept for a gang stays so: moving on would begin the waiting anew.
     std::map<JobId, std::vector<supply::Bin*>> kept;
     for (auto& b : in.bins)
-        if (auto r = reserved_.find(b.id); !b.id.empty() && r != reserved_.end() && !r->second.job.empty()) kept[r->second.job].push_back(&b);
-    // Gangs come in few shapes. The machines of each are ordered once, by when they will have room for one member: looked up
-    // for each of hundreds of gangs this took a fifth of the supplier's time.
+        if (auto r = reserved_.find(b.id); !b.id.empty() && r != reserved_.end() && !r->second.job.empty())
+            kept[r->second.job].push_back(&b);
+    // Gangs come in few shapes. The machines of each are ordered once, by when they will have room for one
+    // member: looked up for each of hundreds of gangs this took a fifth of the supplier's time.
     using Order = std::vector<std::pair<double, supply::Bin*>>;
     std::map<std::string, Order> orders;
     auto order_of = [&](const Job& j, const std::optional<std::string>& zone) -> const Order& {
-        std::string key = std::to_string(j.spec.need.cpu) + " " + std::to_string(j.spec.need.gpu) + " " + std::to_string(j.spec.need.ram) +
-                          (j.spec.spot ? "|s" : "|o") + "@" + zone.value_or("");
+        std::string key = std::to_string(j.spec.need.cpu) + " " + std::to_string(j.spec.need.gpu) + " " +
+                          std::to_string(j.spec.need.ram) + (j.spec.spot ? "|s" : "|o") + "@" +
+                          zone.value_or("");
         if (j.spec.types)
             for (const auto& t : *j.spec.types) key += "," + t;
         auto [it, fresh] = orders.try_emplace(key);
         if (!fresh) return it->second;
         for (auto& b : in.bins) {
             const auto* t = model_.type(b.type);
-            if (b.id.empty() || t == nullptr || !t->room.fits(j.spec.need) || !sched::machine_allowed(j.spec, zone, b.type, b.zone, b.spot))
+            if (b.id.empty() || t == nullptr || !t->room.fits(j.spec.need) ||
+                !sched::machine_allowed(j.spec, zone, b.type, b.zone, b.spot))
                 continue;
             std::vector<supply::Slot> slots = b.slots;
-            std::sort(slots.begin(), slots.end(), [](const auto& x, const auto& y) { return x.free_at < y.free_at; });
+            std::sort(slots.begin(), slots.end(),
+                      [](const auto& x, const auto& y) { return x.free_at < y.free_at; });
             Room room;
             double when = 0;
             for (const auto& s : slots) {
@@ -341,18 +364,22 @@
             }
             it->second.emplace_back(when, &b);
         }
-        std::stable_sort(it->second.begin(), it->second.end(), [](const auto& x, const auto& y) { return x.first < y.first; });
+        std::stable_sort(it->second.begin(), it->second.end(),
+                         [](const auto& x, const auto& y) { return x.first < y.first; });
         return it->second;
     };
     auto take = [&](const Job& j, const std::optional<std::string>& zone) {
         Order out;
         if (auto k = kept.find(j.spec.id); k != kept.end())
             for (auto* b : k->second)
-                if (out.size() < j.spec.tasks && !b->reserved && sched::machine_allowed(j.spec, zone, b->type, b->zone, b->spot))
+                if (out.size() < j.spec.tasks && !b->reserved &&
+                    sched::machine_allowed(j.spec, zone, b->type, b->zone, b->spot))
                     out.emplace_back(-1, b);
         for (const auto& [when, b] : order_of(j, zone)) {
             if (out.size() >= j.spec.tasks) break;
-            if (!b->reserved && std::none_of(out.begin(), out.end(), [&](const auto& o) { return o.second == b; })) out.emplace_back(when, b);
+            if (!b->reserved &&
+                std::none_of(out.begin(), out.end(), [&](const auto& o) { return o.second == b; }))
+                out.emplace_back(when, b);
         }
         return out;
     };
@@ -361,13 +388,15 @@
         if (j->spec.tasks > left) continue;
         const sched::Reservation mark{j->spec.job_class, j->spec.rank, 0, j->spec.id};
         Order order = take(*j, j->pinned_zone);
-        // One that may go to any zone, all its members to the same, goes to the one that will have room for the last of them first.
+        // One that may go to any zone, all its members to the same, goes to the one that will have room for
+        // the last of them first.
         if (!model_.bound_zone(*j) && j->spec.one_zone)
             for (const auto& z : settings_.zones) {
                 if (j->pinned_zone == z) continue;
                 Order other = take(*j, z);
                 if (other.size() < j->spec.tasks) continue;
-                if (order.size() < j->spec.tasks || other.back().first < order.back().first) order = std::move(other);
+                if (order.size() < j->spec.tasks || other.back().first < order.back().first)
+                    order = std::move(other);
             }
         if (order.size() < j->spec.tasks) continue;
         for (std::size_t i = 0; i < j->spec.tasks; ++i) {
@@ -379,13 +408,14 @@
     }
 }
 
-// Stopping what saves loses nothing. Of the rest only tasks of lower rank that have just begun are stopped: most of
-// their time so far went into their image, which stays.
+// Stopping what saves loses nothing. Of the rest only tasks of lower rank that have just begun are stopped:
+// most of their time so far went into their image, which stays.
 std::optional<double> Supply::loss_of(const MachineId& id, const sched::Reservation& r) const {
     double loss = 0;
     for (const auto& ref : model_.on_machine(id)) {
         const Job* j = model_.job(ref.job);
-        if (j == nullptr || j->spec.rank <= r.rank || j->spec.shape != wire::Shape::array) return std::nullopt;
+        if (j == nullptr || j->spec.rank <= r.rank || j->spec.shape != wire::Shape::array)
+            return std::nullopt;
         if (sched::yields(j->spec, r)) continue;
         auto since = placed_since_.find({ref, model_.task(ref).attempt});
         if (since == placed_since_.end()) return std::nullopt;
@@ -404,14 +434,16 @@
             const std::pair key{ref, model_.task(ref).attempt};
             auto it = placed_since_.find(key);
             // What was there before this supplier was elected may have run for long.
-            still.emplace(key, it != placed_since_.end() ? it->second : noted_ ? now : now - std::chrono::hours(1));
+            still.emplace(key, it != placed_since_.end() ? it->second
+                               : noted_                  ? now
+                                                         : now - std::chrono::hours(1));
         }
     placed_since_ = std::move(still);
     noted_ = true;
 }
 
-// Classes whose aim for the wait is shorter than a boot can only be met by machines that stand ready: those that run
-// them now, and as many more as arrive, by the recent rate, while another machine would boot.
+// Classes whose aim for the wait is shorter than a boot can only be met by machines that stand ready: those
+// that run them now, and as many more as arrive, by the recent rate, while another machine would boot.
 void Supply::reserve(supply::PlanInput& in) {
     const WallMs wall = env_.wall();
     for (const auto& [id, j] : model_.jobs())
@@ -432,8 +464,9 @@
         if (type == nullptr || within > type->boot_s * 1.5 || a.times.empty()) continue;
         const double boot = type->boot_s + a.spec.image_gb / type->fetch_gb_per_s;
         const double expected = std::ceil(a.machines_per_s(wall) * boot * policy_.reserve);
-        const auto ready = static_cast<std::size_t>(std::clamp(expected, policy_.reserve > 0 ? 1.0 : 0.0,
-                                                               std::max(50.0, static_cast<double>(in.bins.size()) / 4)));
+        const auto ready =
+            static_cast<std::size_t>(std::clamp(expected, policy_.reserve > 0 ? 1.0 : 0.0,
+                                                std::max(50.0, static_cast<double>(in.bins.size()) / 4)));
         std::size_t waiting = 0;
         for (const auto& d : in.demands)
             if (d.spec->job_class == name) waiting += d.tasks;
@@ -442,30 +475,37 @@
         const auto shares = a.image_shares();
         const sched::Reservation mark{name, a.spec.rank, std::min(within * 0.4, 10.0)};
         for (auto& b : in.bins) {
-            if (b.id.empty() || b.reserved || !sched::machine_allowed(a.spec, a.pin, b.type, b.zone, b.spot)) continue;
+            if (b.id.empty() || b.reserved || !sched::machine_allowed(a.spec, a.pin, b.type, b.zone, b.spot))
+                continue;
             const auto* t = model_.type(b.type);
             if (t == nullptr || !t->room.fits(a.spec.need)) continue;
             bool runs = false;
             for (const auto& ref : model_.on_machine(b.id))
-                if (const Job* j = model_.job(ref.job); j != nullptr && j->spec.job_class == name) runs = true;
+                if (const Job* j = model_.job(ref.job); j != nullptr && j->spec.job_class == name)
+                    runs = true;
             running += runs ? 1 : 0;
             const bool was = reserved_.contains(b.id), busy = !model_.on_machine(b.id).empty();
             // Of the busy ones those first that lose least when they are cleared.
             const double loss = busy && !runs ? loss_of(b.id, mark).value_or(1e6) : 0;
-            // Of the idle ones those first that hold the images which the class asks for most: a gang with room waits for
-            // the fetch of its image alone.
+            // Of the idle ones those first that hold the images which the class asks for most: a gang with
+            // room waits for the fetch of its image alone.
             double held = 0;
             if (!busy)
                 model_.each_image(b.id, t->cache_gb, [&](const std::string& image) {
                     if (auto s = shares.find(image); s != shares.end()) held += s->second;
                 });
-            order.emplace_back(runs ? 0 : clearing_.contains(b.id) ? 0.5 : !busy ? 2 - held - (was ? 0.1 : 0) : (was ? 3 : 4) + loss, &b);
+            order.emplace_back(runs                       ? 0
+                               : clearing_.contains(b.id) ? 0.5
+                               : !busy                    ? 2 - held - (was ? 0.1 : 0)
+                                                          : (was ? 3 : 4) + loss,
+                               &b);
         }
-        std::stable_sort(order.begin(), order.end(), [](const auto& x, const auto& y) { return x.first < y.first; });
+        std::stable_sort(order.begin(), order.end(),
+                         [](const auto& x, const auto& y) { return x.first < y.first; });
         const std::size_t want = running + waiting + ready;
         const std::size_t yielding = make_room(order, std::min(want, order.size()), waiting, a.spec, mark);
-        // While tasks of the class wait, nobody else uses its machines, however soon it would yield: of a machine being
-        // cleared, the first half that came free was taken again before the second was.
+        // While tasks of the class wait, nobody else uses its machines, however soon it would yield: of a
+        // machine being cleared, the first half that came free was taken again before the second was.
         sched::Reservation kept = mark;
         if (waiting > 0) kept.save_s = 0;
         for (std::size_t i = 0; i < std::min(want, order.size()); ++i) {
@@ -490,7 +530,8 @@
     for (const auto& [id, r] : reserved_) {
         auto owner = by_owner.find(model_.parts()[model_.part_of(id)].owner);
         if (owner == by_owner.end()) continue;
-        owner->second.push_back({id, r.job_class, r.rank, static_cast<std::uint32_t>(r.save_s * 1000), r.job});
+        owner->second.push_back(
+            {id, r.job_class, r.rank, static_cast<std::uint32_t>(r.save_s * 1000), r.job});
     }
     for (auto& [n, machines] : by_owner) {
         wire::Reserve m;
@@ -503,10 +544,10 @@
     }
 }
 
-// Among the first `n` of the machines kept for a class, clears as many as its waiting tasks lack; returns how many
-// more could be cleared without loss of work.
-std::size_t Supply::make_room(const std::vector<std::pair<double, supply::Bin*>>& order, std::size_t n, std::size_t waiting,
-                              const wire::JobSpec& spec, const sched::Reservation& r) {
+// Among the first `n` of the machines kept for a class, clears as many as its waiting tasks lack; returns how
+// many more could be cleared without loss of work.
+std::size_t Supply::make_room(const std::vector<std::pair<double, supply::Bin*>>& order, std::size_t n,
+                              std::size_t waiting, const wire::JobSpec& spec, const sched::Reservation& r) {
     std::size_t yielding = 0;
     std::vector<std::pair<double, MachineId>> can;
     for (std::size_t i = 0; i < n; ++i) {
@@ -518,7 +559,8 @@
             if (waiting > 0) --waiting;
             continue;
         }
-        if (auto loss = loss_of(b.id, r); loss && !model_.on_machine(b.id).empty()) can.emplace_back(*loss, b.id);
+        if (auto loss = loss_of(b.id, r); loss && !model_.on_machine(b.id).empty())
+            can.emplace_back(*loss, b.id);
     }
     std::stable_sort(can.begin(), can.end(), [](const auto& x, const auto& y) { return x.first < y.first; });
     for (const auto& [loss, id] : can) {
@@ -530,8 +572,10 @@
         clearing_[id] = env_.now();
         auto k = known_.find(id);
         for (const auto& ref : model_.on_machine(id)) {
-            log::info("event=preempt task={} machine={} for_class={} loss_s={:.1f}", ref.str(), id.v, r.job_class, loss);
-            if (k != known_.end()) send_(k->second.owner, wire::Preempt{ref.job, ref.task, model_.task(ref).attempt});
+            log::info("event=preempt task={} machine={} for_class={} loss_s={:.1f}", ref.str(), id.v,
+                      r.job_class, loss);
+            if (k != known_.end())
+                send_(k->second.owner, wire::Preempt{ref.job, ref.task, model_.task(ref).attempt});
         }
     }
     return yielding;
@@ -575,27 +619,33 @@
 
 void Supply::rent(const supply::Kind& k, std::uint32_t count) {
     // Unique for ever: no two processes share an incarnation, and none counts backwards.
-    std::string name = settings_.node.v + "." + std::to_string(cluster_.incarnation().v) + "." + std::to_string(++next_hire_);
+    std::string name = settings_.node.v + "." + std::to_string(cluster_.incarnation().v) + "." +
+                       std::to_string(++next_hire_);
     renting_[k] += count;
     log::info("event=rent request={} type={} zone={} spot={} count={}", name, k.type, k.zone, k.spot, count);
-    cloud_.rent(name, k.type, k.zone, k.spot, count, [this, k, count, name](CloudClient::Rent r, std::vector<MachineId> got) {
-        Mono now = env_.now();
-        if (auto it = renting_.find(k); it != renting_.end() && (it->second -= std::min(it->second, count)) == 0)
-            renting_.erase(it);
-        for (const auto& id : got) {
-            auto [it, fresh] = rented_.try_emplace(id);
-            if (!fresh) continue;
-            it->second.type = k.type;
-            it->second.zone = k.zone;
-            it->second.spot = k.spot;
-            it->second.first_seen = it->second.last_listed = now;
-        }
-        log::info("event=rented request={} outcome={} machines={}", name, static_cast<int>(r), got.size());
-        if (r == CloudClient::Rent::no_capacity || (r == CloudClient::Rent::ok && got.size() < count))
-            refused_until_[k] = now + seconds(policy_.refused_pause_s);
-        else if (r != CloudClient::Rent::ok)
-            refused_until_[k] = now + seconds(r == CloudClient::Rent::unknown ? settings_.list_lag_s * 2 + 2 : 2);
-    });
+    cloud_.rent(
+        name, k.type, k.zone, k.spot, count,
+        [this, k, count, name](CloudClient::Rent r, std::vector<MachineId> got) {
+            Mono now = env_.now();
+            if (auto it = renting_.find(k);
+                it != renting_.end() && (it->second -= std::min(it->second, count)) == 0)
+                renting_.erase(it);
+            for (const auto& id : got) {
+                auto [it, fresh] = rented_.try_emplace(id);
+                if (!fresh) continue;
+                it->second.type = k.type;
+                it->second.zone = k.zone;
+                it->second.spot = k.spot;
+                it->second.first_seen = it->second.last_listed = now;
+            }
+            log::info("event=rented request={} outcome={} machines={}", name, static_cast<int>(r),
+                      got.size());
+            if (r == CloudClient::Rent::no_capacity || (r == CloudClient::Rent::ok && got.size() < count))
+                refused_until_[k] = now + seconds(policy_.refused_pause_s);
+            else if (r != CloudClient::Rent::ok)
+                refused_until_[k] =
+                    now + seconds(r == CloudClient::Rent::unknown ? settings_.list_lag_s * 2 + 2 : 2);
+        });
 }
 
 void Supply::on_drained(const wire::Drained& m) {
--- a/src/supply/supply.h
+++ b/src/supply/supply.h
@@ -35,7 +35,7 @@
         Mono first_seen{}, last_listed{};
         double age_s = 0;  // at first_seen
         bool ever_up = false, returning = false;
-        std::string address;  // by the cloud's list
+        std::string address;   // by the cloud's list
         Mono unheard_since{};  // listed as running, and no controller hears it
         Mono drain_asked{};
     };
@@ -59,7 +59,7 @@
         void forget(WallMs now);
         double window_s(WallMs now) const;
         std::map<std::string, double> image_shares() const;  // of its tasks
-        double machines_per_s(WallMs now) const;  // tasks a second, a gang's counted one by one
+        double machines_per_s(WallMs now) const;             // tasks a second, a gang's counted one by one
     };
     void tick();
     void read_types();
@@ -67,8 +67,8 @@
     void plan();
     void reserve(supply::PlanInput& in);
     void reserve_for_gangs(supply::PlanInput& in, std::map<MachineId, sched::Reservation>& chosen);
-    std::size_t make_room(const std::vector<std::pair<double, supply::Bin*>>& order, std::size_t n, std::size_t waiting,
-                          const wire::JobSpec& spec, const sched::Reservation& r);
+    std::size_t make_room(const std::vector<std::pair<double, supply::Bin*>>& order, std::size_t n,
+                          std::size_t waiting, const wire::JobSpec& spec, const sched::Reservation& r);
     void rent(const supply::Kind& k, std::uint32_t count);
     void give_back(std::vector<MachineId> machines, const char* why);
     void clean_strays();
@@ -93,11 +93,12 @@
     bool cleaning_ = false;
     std::map<std::string, Arrivals> arrivals_;
     std::map<MachineId, sched::Reservation> reserved_;
-    // What stopping all of a machine's tasks for work of this rank would lose, in seconds; nothing when it may not be.
+    // What stopping all of a machine's tasks for work of this rank would lose, in seconds; nothing when it
+    // may not be.
     std::optional<double> loss_of(const MachineId& id, const sched::Reservation& r) const;
     void note_placed();
     std::map<std::pair<TaskRef, Attempt>, Mono> placed_since_;  // as this supplier saw it
-    std::set<MachineId> drained_;  // empty by their owners' word, to be returned together
+    std::set<MachineId> drained_;         // empty by their owners' word, to be returned together
     std::map<MachineId, Mono> clearing_;  // its tasks were asked to make room
 };
 
--- a/src/wire/json_api.cpp
+++ b/src/wire/json_api.cpp
@@ -27,7 +27,8 @@
 }
 std::string text(const Json& j, const char* key, std::size_t most = 200) {
     const Json& v = need(j, key);
-    if (!v.is_string() || v.get_ref<const std::string&>().empty() || v.get_ref<const std::string&>().size() > most)
+    if (!v.is_string() || v.get_ref<const std::string&>().empty() ||
+        v.get_ref<const std::string&>().size() > most)
         throw Bad{std::string(key) + " must be a string of 1 to " + std::to_string(most) + " bytes"};
     return v.get<std::string>();
 }
@@ -53,7 +54,8 @@
 constexpr const char* rank_names[] = {"critical", "high", "standard", "best_effort"};
 constexpr const char* phase_names[] = {"queued", "running", "done", "withdrawn"};
 constexpr const char* task_phase_names[] = {"fetching", "waiting", "running", "saving", "ended"};
-constexpr const char* cause_names[] = {"none", "done", "halted", "peers", "alone", "error", "full", "in_use", "unknown"};
+constexpr const char* cause_names[] = {"none",  "done", "halted", "peers",  "alone",
+                                       "error", "full", "in_use", "unknown"};
 constexpr const char* verb_names[] = {"run", "halt", "clear"};
 
 template <std::size_t N>
@@ -106,7 +108,8 @@
 
 TaskRef task_ref(const std::string& s) {
     auto slash = s.rfind('/');
-    if (slash == std::string::npos || slash + 1 == s.size() || s.size() - slash > 8) throw Bad{"bad task name"};
+    if (slash == std::string::npos || slash + 1 == s.size() || s.size() - slash > 8)
+        throw Bad{"bad task name"};
     std::uint32_t n = 0;
     for (std::size_t i = slash + 1; i < s.size(); ++i) {
         if (s[i] < '0' || s[i] > '9') throw Bad{"bad task name"};
@@ -117,7 +120,8 @@
 
 // Parses without exceptions leaving this package: a peer's bad text is an answer, not a failure of ours.
 template <class Fn>
-auto guarded(std::string_view body, Fn fn, std::string* why = nullptr) -> std::optional<decltype(fn(Json()))> {
+auto guarded(std::string_view body, Fn fn, std::string* why = nullptr)
+    -> std::optional<decltype(fn(Json()))> {
     Json j = Json::parse(body, nullptr, false);
     if (j.is_discarded()) {
         if (why != nullptr) *why = "not JSON";
@@ -161,7 +165,9 @@
            std::all_of(id.begin() + 4, id.end(), [](char c) { return c >= '0' && c <= '9'; });
 }
 
-std::optional<JobSpec> parse_job(std::string_view body, std::string& why) { return guarded(body, spec_of, &why); }
+std::optional<JobSpec> parse_job(std::string_view body, std::string& why) {
+    return guarded(body, spec_of, &why);
+}
 
 std::optional<JobSpec> spec_from_json(const Json& j) {
     try {
@@ -245,7 +251,8 @@
 std::string orders_body(Term term, const std::vector<Order>& orders, std::optional<std::uint64_t> session) {
     Json list = Json::array();
     for (const auto& o : orders) {
-        Json e = {{"verb", verb_names[static_cast<int>(o.verb)]}, {"shard", o.task.str()}, {"try", o.attempt}};
+        Json e = {
+            {"verb", verb_names[static_cast<int>(o.verb)]}, {"shard", o.task.str()}, {"try", o.attempt}};
         if (o.verb == Verb::halt) e["respite_s"] = o.grace_s;
         list.push_back(std::move(e));
     }
@@ -309,7 +316,8 @@
 
 std::string rent_body(const std::string& request, const std::string& type, const std::string& zone, bool spot,
                       std::uint32_t n) {
-    return Json{{"hire", request}, {"breed", type}, {"field", zone}, {"loaners", spot}, {"how_many", n}}.dump();
+    return Json{{"hire", request}, {"breed", type}, {"field", zone}, {"loaners", spot}, {"how_many", n}}
+        .dump();
 }
 
 std::string return_body(const std::vector<MachineId>& machines) {
--- a/src/wire/json_api.h
+++ b/src/wire/json_api.h
@@ -76,7 +76,8 @@
     Attempt attempt = 0;
     double grace_s = 0;
 };
-std::string orders_body(Term term, const std::vector<Order>& orders, std::optional<std::uint64_t> session = {});
+std::string orders_body(Term term, const std::vector<Order>& orders,
+                        std::optional<std::uint64_t> session = {});
 std::string redirect_body(const std::optional<NodeName>& owner);
 
 struct MachineType {
--- a/src/wire/peer.cpp
+++ b/src/wire/peer.cpp
@@ -9,7 +9,7 @@
   public:
     std::string out;
     template <class T>
-        requires std::is_integral_v<T>
+    requires std::is_integral_v<T>
     void operator()(const T& v) {
         if constexpr (std::is_same_v<T, bool>) {
             out.push_back(v ? '\1' : '\0');
@@ -27,15 +27,21 @@
         out += s;
     }
     template <class Tag>
-    void operator()(const Name<Tag>& n) { (*this)(n.v); }
-    void operator()(const Room& r) { (*this)(r.cpu); (*this)(r.gpu); (*this)(r.ram); }
+    void operator()(const Name<Tag>& n) {
+        (*this)(n.v);
+    }
+    void operator()(const Room& r) {
+        (*this)(r.cpu);
+        (*this)(r.gpu);
+        (*this)(r.ram);
+    }
     template <class T>
     void operator()(const std::vector<T>& v) {
         (*this)(static_cast<std::uint32_t>(v.size()));
         for (const auto& e : v) (*this)(e);
     }
     template <class T>
-        requires std::is_class_v<T>
+    requires std::is_class_v<T>
     void operator()(const T& v) { fields(*this, v); }
 };
 
@@ -45,7 +51,7 @@
     bool ok = true;
     bool at_end() const { return in_.empty(); }
     template <class T>
-        requires std::is_integral_v<T>
+    requires std::is_integral_v<T>
     void operator()(T& v) {
         if (in_.size() < sizeof(T)) {
             ok = false;
@@ -57,7 +63,8 @@
         } else {
             std::make_unsigned_t<T> u = 0;
             for (std::size_t i = sizeof(T); i-- > 0;)
-                u = static_cast<decltype(u)>((static_cast<std::uint64_t>(u) << 8) | static_cast<unsigned char>(in_[i]));
+                u = static_cast<decltype(u)>((static_cast<std::uint64_t>(u) << 8) |
+                                             static_cast<unsigned char>(in_[i]));
             v = static_cast<T>(u);
         }
         in_.remove_prefix(sizeof(T));
@@ -79,8 +86,14 @@
         in_.remove_prefix(n);
     }
     template <class Tag>
-    void operator()(Name<Tag>& n) { (*this)(n.v); }
-    void operator()(Room& r) { (*this)(r.cpu); (*this)(r.gpu); (*this)(r.ram); }
+    void operator()(Name<Tag>& n) {
+        (*this)(n.v);
+    }
+    void operator()(Room& r) {
+        (*this)(r.cpu);
+        (*this)(r.gpu);
+        (*this)(r.ram);
+    }
     template <class T>
     void operator()(std::vector<T>& v) {
         std::uint32_t n = 0;
@@ -97,7 +110,7 @@
         }
     }
     template <class T>
-        requires std::is_class_v<T>
+    requires std::is_class_v<T>
     void operator()(T& v) { fields(*this, v); }
 
   private:
@@ -108,44 +121,120 @@
 template <class A, class M>
 void fields(A& a, M& m) {
     using T = std::remove_const_t<M>;
-    if constexpr (std::is_same_v<T, RoundId>) { a(m.relay); a(m.number); }
-    else if constexpr (std::is_same_v<T, Hello>) { a(m.node); a(m.incarnation); }
-    else if constexpr (std::is_same_v<T, MachineBeat>) {
-        a(m.id); a(m.type); a(m.zone); a(m.address); a(m.spot); a(m.usable); a(m.silent);
-        a(m.session); a(m.busy_tasks); a(m.idle_ms); a(m.silent_ms);
-    }
-    else if constexpr (std::is_same_v<T, Vouch>) {
-        a(m.life); a(m.stamp); a(m.echo_life); a(m.echo); a(m.behind); a(m.whole); a(m.cancelled);
-    }
-    else if constexpr (std::is_same_v<T, CalledOff>) { a(m.job); }
-    else if constexpr (std::is_same_v<T, Beat>) { a(m.vouch); a(m.store_ok); a(m.seen); a(m.write_demand); a(m.machines); }
-    else if constexpr (std::is_same_v<T, Ask>) {
-        a(m.round); a(m.job); a(m.gatherer); a(m.scorers); a(m.need); a(m.image); a(m.rank); a(m.tasks);
-    }
-    else if constexpr (std::is_same_v<T, Offer>) { a(m.machine); a(m.zone); a(m.score); }
-    else if constexpr (std::is_same_v<T, Offers>) {
-        a(m.round); a(m.job); a(m.scorer); a(m.scorers); a(m.whole); a(m.tasks); a(m.offers);
-    }
-    else if constexpr (std::is_same_v<T, Assignment>) { a(m.task); a(m.machine); }
-    else if constexpr (std::is_same_v<T, Verdict>) { a(m.round); a(m.job); a(m.yes); }
-    else if constexpr (std::is_same_v<T, Unplaced>) { a(m.round); a(m.job); a(m.tasks); }
-    else if constexpr (std::is_same_v<T, Drain> || std::is_same_v<T, Drained>) { a(m.machine); }
-    else if constexpr (std::is_same_v<T, ReservedMachine>) {
-        a(m.machine); a(m.job_class); a(m.rank); a(m.save_ms); a(m.job);
-    }
-    else if constexpr (std::is_same_v<T, Preempt>) { a(m.job); a(m.task); a(m.attempt); }
-    else if constexpr (std::is_same_v<T, TaskOp>) {
-        a(m.event); a(m.task); a(m.attempt); a(m.machine); a(m.zone); a(m.term); a(m.ticket);
+    if constexpr (std::is_same_v<T, RoundId>) {
+        a(m.relay);
+        a(m.number);
+    } else if constexpr (std::is_same_v<T, Hello>) {
+        a(m.node);
+        a(m.incarnation);
+    } else if constexpr (std::is_same_v<T, MachineBeat>) {
+        a(m.id);
+        a(m.type);
+        a(m.zone);
+        a(m.address);
+        a(m.spot);
+        a(m.usable);
+        a(m.silent);
+        a(m.session);
+        a(m.busy_tasks);
+        a(m.idle_ms);
+        a(m.silent_ms);
+    } else if constexpr (std::is_same_v<T, Vouch>) {
+        a(m.life);
+        a(m.stamp);
+        a(m.echo_life);
+        a(m.echo);
+        a(m.behind);
+        a(m.whole);
+        a(m.cancelled);
+    } else if constexpr (std::is_same_v<T, CalledOff>) {
+        a(m.job);
+    } else if constexpr (std::is_same_v<T, Beat>) {
+        a(m.vouch);
+        a(m.store_ok);
+        a(m.seen);
+        a(m.write_demand);
+        a(m.machines);
+    } else if constexpr (std::is_same_v<T, Ask>) {
+        a(m.round);
+        a(m.job);
+        a(m.gatherer);
+        a(m.scorers);
+        a(m.need);
+        a(m.image);
+        a(m.rank);
+        a(m.tasks);
+    } else if constexpr (std::is_same_v<T, Offer>) {
+        a(m.machine);
+        a(m.zone);
+        a(m.score);
+    } else if constexpr (std::is_same_v<T, Offers>) {
+        a(m.round);
+        a(m.job);
+        a(m.scorer);
+        a(m.scorers);
+        a(m.whole);
+        a(m.tasks);
+        a(m.offers);
+    } else if constexpr (std::is_same_v<T, Assignment>) {
+        a(m.task);
+        a(m.machine);
+    } else if constexpr (std::is_same_v<T, Verdict>) {
+        a(m.round);
+        a(m.job);
+        a(m.yes);
+    } else if constexpr (std::is_same_v<T, Unplaced>) {
+        a(m.round);
+        a(m.job);
+        a(m.tasks);
+    } else if constexpr (std::is_same_v<T, Drain> || std::is_same_v<T, Drained>) {
+        a(m.machine);
+    } else if constexpr (std::is_same_v<T, ReservedMachine>) {
+        a(m.machine);
+        a(m.job_class);
+        a(m.rank);
+        a(m.save_ms);
+        a(m.job);
+    } else if constexpr (std::is_same_v<T, Preempt>) {
+        a(m.job);
+        a(m.task);
+        a(m.attempt);
+    } else if constexpr (std::is_same_v<T, TaskOp>) {
+        a(m.event);
+        a(m.task);
+        a(m.attempt);
+        a(m.machine);
+        a(m.zone);
+        a(m.term);
+        a(m.ticket);
+    } else if constexpr (std::is_same_v<T, Settle>) {
+        a(m.job);
+        a(m.ops);
+    } else if constexpr (std::is_same_v<T, SettledOp>) {
+        a(m.ticket);
+        a(m.done);
+    } else if constexpr (std::is_same_v<T, Record>) {
+        a(m.key);
+        a(m.value);
+        a(m.version);
+    } else if constexpr (std::is_same_v<T, Settled>) {
+        a(m.ops);
+        a(m.records);
+    } else if constexpr (std::is_same_v<T, Freed>) {
+        a(m.type);
+        a(m.room);
+    } else if constexpr (std::is_same_v<T, SightedMachine>) {
+        a(m.id);
+        a(m.address);
+    } else if constexpr (std::is_same_v<T, Reserve>) {
+        a(m.first);
+        a(m.machines);
+    } else if constexpr (std::is_same_v<T, Sighted>) {
+        a(m.machines);
+    } else {
+        static_assert(std::is_same_v<T, Gone>);
+        a(m.machines);
     }
-    else if constexpr (std::is_same_v<T, Settle>) { a(m.job); a(m.ops); }
-    else if constexpr (std::is_same_v<T, SettledOp>) { a(m.ticket); a(m.done); }
-    else if constexpr (std::is_same_v<T, Record>) { a(m.key); a(m.value); a(m.version); }
-    else if constexpr (std::is_same_v<T, Settled>) { a(m.ops); a(m.records); }
-    else if constexpr (std::is_same_v<T, Freed>) { a(m.type); a(m.room); }
-    else if constexpr (std::is_same_v<T, SightedMachine>) { a(m.id); a(m.address); }
-    else if constexpr (std::is_same_v<T, Reserve>) { a(m.first); a(m.machines); }
-    else if constexpr (std::is_same_v<T, Sighted>) { a(m.machines); }
-    else { static_assert(std::is_same_v<T, Gone>); a(m.machines); }
 }
 
 template <std::size_t I = 0>
--- a/src/wire/peer.h
+++ b/src/wire/peer.h
@@ -34,19 +34,20 @@
     std::uint32_t busy_tasks = 0;  // committed to it, held for offers or reported by it
     std::uint32_t idle_ms = 0, silent_ms = 0;
 };
-// What a controller knows of cancellations (cluster/horizon). Stamps are the steady clock of whoever first sent them.
+// What a controller knows of cancellations (cluster/horizon). Stamps are the steady clock of whoever first
+// sent them.
 struct Vouch {
-    std::uint64_t life = 0;   // of the sending process
-    std::uint64_t stamp = 0;  // when this was sent
+    std::uint64_t life = 0;                 // of the sending process
+    std::uint64_t stamp = 0;                // when this was sent
     std::uint64_t echo_life = 0, echo = 0;  // the receiver's newest stamp that came here
-    bool behind = false;      // the sender has learnt nothing for a while: tell it what you know
-    bool whole = false;       // `cancelled` names all unfinished jobs that the sender knows to be cancelled
+    bool behind = false;  // the sender has learnt nothing for a while: tell it what you know
+    bool whole = false;   // `cancelled` names all unfinished jobs that the sender knows to be cancelled
     std::vector<JobId> cancelled;
 };
 struct Beat {
     Vouch vouch;
     bool store_ok = false;
-    std::uint64_t seen = 0;  // revision this node has read up to
+    std::uint64_t seen = 0;          // revision this node has read up to
     std::uint32_t write_demand = 0;  // how much this node has to commit, against its peers
     std::vector<MachineBeat> machines;
 };
@@ -122,8 +123,8 @@
     TaskIndex task = 0;
     Attempt attempt = 0;
 };
-// Supplier to all: machines that the cloud lists as running and that no controller hears. Their owners announce
-// themselves there: an earlier owner that is cut off from everything else may still hold them.
+// Supplier to all: machines that the cloud lists as running and that no controller hears. Their owners
+// announce themselves there: an earlier owner that is cut off from everything else may still hold them.
 struct SightedMachine {
     MachineId id;
     std::string address;
@@ -167,8 +168,8 @@
 struct CalledOff {
     JobId job;
 };
-using PeerMessage = std::variant<Hello, Beat, Ask, Offers, Verdict, Unplaced, Drain, Drained, Gone, Reserve, Preempt,
-                                 Sighted, Settle, Settled, Freed, CalledOff>;
+using PeerMessage = std::variant<Hello, Beat, Ask, Offers, Verdict, Unplaced, Drain, Drained, Gone, Reserve,
+                                 Preempt, Sighted, Settle, Settled, Freed, CalledOff>;
 
 // The whole frame, length included.
 std::string encode(const PeerMessage& m);
--- a/tests/cancel_test.cpp
+++ b/tests/cancel_test.cpp
@@ -1,4 +1,5 @@
-// Stories of cancellations that an owner cannot read: the tasks are gone in time all the same, and nothing else is lost.
+// Stories of cancellations that an owner cannot read: the tasks are gone in time all the same, and nothing
+// else is lost.
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -59,8 +60,8 @@
 
 class Gap : public testing::TestWithParam<std::uint64_t> {};
 
-// The state service refuses one owner alone, another controller confirms a cancellation, then nobody is served for longer
-// than `cancel_s`, while workers report to the first.
+// The state service refuses one owner alone, another controller confirms a cancellation, then nobody is
+// served for longer than `cancel_s`, while workers report to the first.
 TEST_P(Gap, CancelledTasksAreGone) {
     CancelStory s(GetParam());
     s.confirmed_elsewhere();
@@ -87,7 +88,8 @@
     s.confirmed_elsewhere();
     s.w.store.outage = true;
     s.w.store.refused.clear();
-    // What was held arrives, and is held again at once: beats of before the confirmation among it, none of after.
+    // What was held arrives, and is held again at once: beats of before the confirmation among it, none of
+    // after.
     for (int i = 0; i < 12; ++i) {
         s.w.run(3);
         s.cut_from_peers(Link::up);
@@ -100,8 +102,8 @@
     s.finish();
 }
 
-// Whoever confirmed it ends before anybody else has heard of it, and is back, knowing nothing of it: it must not vouch for
-// what it told in its life before.
+// Whoever confirmed it ends before anybody else has heard of it, and is back, knowing nothing of it: it must
+// not vouch for what it told in its life before.
 TEST_P(Gap, AlsoWhenTheConfirmingControllerEnds) {
     for (const double back : {0.2, 20.0}) {
         CancelStory s(GetParam());
@@ -133,7 +135,8 @@
     record["x"] = true;
     w.link("n2", "n0", Link::drop);  // nor does n0 hear of it at once
     const Json commit = {{"if", Json::array()}, {"writes", {{{"set", "z/j/" + s.off}, {"value", record}}}}};
-    w.store.handle("n1", {"POST", "/commit", commit.dump()}, [](const HttpResponse& r) { EXPECT_EQ(r.status, 200); });
+    w.store.handle("n1", {"POST", "/commit", commit.dump()},
+                   [](const HttpResponse& r) { EXPECT_EQ(r.status, 200); });
     w.poll(s.off, 2);
     ASSERT_TRUE(w.run_until([&] { return w.told(s.off) == "withdrawn"; }, 1));
     w.store.outage = true;
@@ -157,12 +160,14 @@
     s.finish();
 }
 
-// What the rule costs: where a controller ended in the outage, nobody vouches for what it told before. Leases are renewed
-// until the slack is used up and then run out, all of them, and what they held starts anew after the outage.
+// What the rule costs: where a controller ended in the outage, nobody vouches for what it told before. Leases
+// are renewed until the slack is used up and then run out, all of them, and what they held starts anew after
+// the outage.
 TEST_P(Gap, WithoutAVouchLeasesRunOut) {
     CancelStory s(GetParam());
     World& w = s.w;
-    // Those of the controller that ends can't be taken over without the state service and are lost with their leases.
+    // Those of the controller that ends can't be taken over without the state service and are lost with their
+    // leases.
     int theirs = 0, others = 0;
     for (auto& [id, m] : w.workers())
         for (const auto& [key, t] : m.tasks)
--- a/tests/checker.h
+++ b/tests/checker.h
@@ -1,4 +1,5 @@
-// Holds a run against the protocol's rules. Written apart from the scheduler: it knows only what the world saw.
+// Holds a run against the protocol's rules. Written apart from the scheduler: it knows only what the world
+// saw.
 #pragma once
 #include <map>
 #include <set>
@@ -32,7 +33,9 @@
     std::vector<std::string> broken;  // "rule: what happened"
 
     void machine(const std::string& id, MachineFacts f) { machines_[id] = std::move(f); }
-    void submitted(const std::string& job, JobFacts f) { jobs_.try_emplace(job).first->second.facts = std::move(f); }
+    void submitted(const std::string& job, JobFacts f) {
+        jobs_.try_emplace(job).first->second.facts = std::move(f);
+    }
     void asked_to_cancel(const std::string& job) { jobs_[job].cancel_asked = true; }
 
     // The task has its image, or is no longer there.
@@ -48,11 +51,14 @@
         bool place = (!f.types_given || f.types.contains(m.type)) && (f.zone.empty() || f.zone == m.zone) &&
                      (f.spot || !m.spot);
         int there = 1;
-        for (auto it = on_.lower_bound({job, 0}); (f.one_zone || f.spread) && it != on_.end() && it->first.first == job; ++it) {
+        for (auto it = on_.lower_bound({job, 0});
+             (f.one_zone || f.spread) && it != on_.end() && it->first.first == job; ++it) {
             if (it->first.second == task) continue;
             for (const auto& w : it->second) {
-                if (machines_[w].zone == m.zone) ++there;
-                else if (f.one_zone) place = false;
+                if (machines_[w].zone == m.zone)
+                    ++there;
+                else if (f.one_zone)
+                    place = false;
             }
         }
         if (f.spread && there > (f.tasks + 1) / 2) place = false;
@@ -82,7 +88,8 @@
         Job& j = jobs_[job];
         if (j.silent_since < 0) j.silent_since = now;
         if (troubles_over < 0 || !j.accepted) return;
-        if (now - std::max(j.silent_since, troubles_over) > 75) fail("forgotten", job, -1, "no answer for 75 s");
+        if (now - std::max(j.silent_since, troubles_over) > 75)
+            fail("forgotten", job, -1, "no answer for 75 s");
     }
     double troubles_over = -1;
 
@@ -94,9 +101,11 @@
         if (status == 200 || status == 201) {
             if (!known) return fail("invented", job, -1, "");
             Job& j = it->second;
-            if ((j.last == "done" || j.last == "withdrawn") && phase != j.last) fail("went_back", job, -1, j.last + " then " + phase);
+            if ((j.last == "done" || j.last == "withdrawn") && phase != j.last)
+                fail("went_back", job, -1, j.last + " then " + phase);
             if (phase == "withdrawn" && !j.cancel_asked) fail("went_back", job, -1, "cancelled by nobody");
-            if (phase == "done" && static_cast<int>(j.done.size()) < j.facts.tasks) fail("not_done", job, -1, "");
+            if (phase == "done" && static_cast<int>(j.done.size()) < j.facts.tasks)
+                fail("not_done", job, -1, "");
             if (phase == "done" || phase == "withdrawn") j.last = phase;
             if (phase == "withdrawn" && j.cancelled_at < 0) j.cancelled_at = now;
             j.accepted = true;
@@ -110,12 +119,13 @@
     void finish() {
         if (starts == 0) fail("nothing_ran", "", -1, "");
     }
-    // How much was served: at least half of a class, of a team and of a class's largest jobs, and the largest were begun
-    // within `begin_s`, counted from the end of all troubles if that came later.
+    // How much was served: at least half of a class, of a team and of a class's largest jobs, and the largest
+    // were begun within `begin_s`, counted from the end of all troubles if that came later.
     void judge_service(double begin_s = 240) {
         std::map<std::string, std::pair<int, int>> groups;  // jobs, and those done
         std::map<std::string, int> largest;
-        for (const auto& [id, j] : jobs_) largest[j.facts.job_class] = std::max(largest[j.facts.job_class], j.facts.tasks);
+        for (const auto& [id, j] : jobs_)
+            largest[j.facts.job_class] = std::max(largest[j.facts.job_class], j.facts.tasks);
         for (const auto& [id, j] : jobs_) {
             if (!j.accepted || j.cancel_asked) continue;
             const bool large = j.facts.tasks * 5 >= largest[j.facts.job_class] * 4;
@@ -133,7 +143,9 @@
             if (2 * n.second < n.first) fail("half_served", name, -1, "");
     }
     int done_tasks(const std::string& job) { return static_cast<int>(jobs_[job].done.size()); }
-    bool all_done(const std::string& job) { return static_cast<int>(jobs_[job].done.size()) == jobs_[job].facts.tasks; }
+    bool all_done(const std::string& job) {
+        return static_cast<int>(jobs_[job].done.size()) == jobs_[job].facts.tasks;
+    }
     int starts = 0;
 
   private:
--- a/tests/checker_test.cpp
+++ b/tests/checker_test.cpp
@@ -1,8 +1,8 @@
 // The checker must be able to fail: each rule's violation, planted, is found.
-#include <gtest/gtest.h>
-
 #include "checker.h"
 
+#include <gtest/gtest.h>
+
 namespace zdtest {
 namespace {
 
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -96,7 +96,8 @@
     }
 };
 
-// All controllers crash and are back within a fraction of a second, twice, and every worker comes to the same one of them.
+// All controllers crash and are back within a fraction of a second, twice, and every worker comes to the same
+// one of them.
 void all_back_at_once(int nodes, int machines) {
     FleetStory s(fleet_options(nodes, machines), machines);
     World& w = s.w;
@@ -115,7 +116,8 @@
         }
         if (time == 0) w.run(2);
     }
-    // Work for the machines that are free: it begins, and a poll and a submission are answered, within seconds.
+    // Work for the machines that are free: it begins, and a poll and a submission are answered, within
+    // seconds.
     s.submit(machines / 20, 10);
     const int before = w.on_machines(s.ids.back());
     EXPECT_EQ(before, 0);
@@ -131,8 +133,8 @@
 TEST(Fleet, SevenControllersBackAtOnce) { all_back_at_once(7, 2000 / shrink); }
 TEST(Fleet, ThreeControllersBackAtOnce) { all_back_at_once(3, 1400 / shrink); }
 
-// Four times as many short tasks as the machines can do: what waits must not cost more than what runs. Counted, not
-// timed: how often a machine's room is worked out for the asks.
+// Four times as many short tasks as the machines can do: what waits must not cost more than what runs.
+// Counted, not timed: how often a machine's room is worked out for the asks.
 TEST(Fleet, BurstOfShortTasks) {
     const int machines = 400 / shrink;
     FleetStory s(fleet_options(7, machines), machines);
@@ -156,8 +158,9 @@
     s.expect_rules();
 }
 
-// A third of the machines is cut off for longer than a lease, with what is sent meanwhile delivered late, while one
-// controller is gone. What ran elsewhere runs on; what was lost is started again within a bound; and nothing runs twice.
+// A third of the machines is cut off for longer than a lease, with what is sent meanwhile delivered late,
+// while one controller is gone. What ran elsewhere runs on; what was lost is started again within a bound;
+// and nothing runs twice.
 void third_cut(bool hang) {
     const int machines = 300 / shrink;
     FleetStory s(fleet_options(3, machines), machines);
@@ -196,8 +199,8 @@
 TEST(Fleet, ThirdOfTheMachinesCutWithPacketsHeld) { third_cut(false); }
 TEST(Fleet, ThirdOfTheMachinesHang) { third_cut(true); }
 
-// One controller loses the workers and nothing else, for longer than a lease: the others hear them, and take its part over
-// before anything is lost. Back in reach, it takes its part up again without harm.
+// One controller loses the workers and nothing else, for longer than a lease: the others hear them, and take
+// its part over before anything is lost. Back in reach, it takes its part up again without harm.
 TEST(Fleet, OwnerThatHearsNoWorker) {
     for (const Link cut : {Link::hold, Link::drop}) {
         FleetStory s(fleet_options(3, 60), 60);
@@ -224,7 +227,8 @@
     }
 }
 
-// More questions than the state service takes requests: one read answers all who asked before it, and none is left unanswered.
+// More questions than the state service takes requests: one read answers all who asked before it, and none is
+// left unanswered.
 TEST(Fleet, MoreQuestionsThanRequests) {
     World::Options o;
     o.budgets = true;
@@ -237,18 +241,21 @@
         ids.push_back(id_of(i));
         w.submit(w.job(ids.back(), 1, 1, 500));
     }
-    ASSERT_TRUE(w.run_until([&] { return std::all_of(ids.begin(), ids.end(), [&](const auto& id) { return w.accepted(id); }); }, 40));
+    ASSERT_TRUE(w.run_until(
+        [&] { return std::all_of(ids.begin(), ids.end(), [&](const auto& id) { return w.accepted(id); }); },
+        40));
     int asked = 0, answered = 0;
     double slowest = 0;
     for (int step = 0; step < 100; ++step) {
         for (int i = 0; i < 12; ++i) {
             const std::string id = ids[w.rng() % ids.size()];
             ++asked;
-            w.node(i % 3).on_request({"GET", "/api/jobs/" + id, ""}, [&, at = w.now()](const HttpResponse& r) {
-                if (r.status != 200) return;
-                ++answered;
-                slowest = std::max(slowest, w.now() - at);
-            });
+            w.node(i % 3).on_request({"GET", "/api/jobs/" + id, ""},
+                                     [&, at = w.now()](const HttpResponse& r) {
+                                         if (r.status != 200) return;
+                                         ++answered;
+                                         slowest = std::max(slowest, w.now() - at);
+                                     });
         }
         w.run(0.1);
     }
@@ -257,15 +264,16 @@
     EXPECT_LT(slowest, 1.8);
 }
 
-// Five controllers, three zones, sixteen teams and 3,600 machines, with as much work at the start and as much coming as such a
-// platform has: arrays of fifty, and gangs of up to sixteen that must be in one zone.
+// Five controllers, three zones, sixteen teams and 3,600 machines, with as much work at the start and as much
+// coming as such a platform has: arrays of fifty, and gangs of up to sixteen that must be in one zone.
 World::Options large_options() {
     World::Options o;
     o.nodes = 5;
     o.zones = {"a", "b", "c"};
     o.teams.clear();
     for (int t = 0; t < 16; ++t)
-        o.teams += "[[params.teams]]\nname = \"t" + std::to_string(t) + "\"\ncpus = 0\ncpus_max = 0\ngpus = 900\ngpus_max = 2000\n";
+        o.teams += "[[params.teams]]\nname = \"t" + std::to_string(t) +
+                   "\"\ncpus = 0\ncpus_max = 0\ngpus = 900\ngpus_max = 2000\n";
     o.value_kb = 8;
     o.txn_ops = 16;
     o.list_page = 1000;
@@ -288,14 +296,16 @@
     World::Options o = large_options();
     o.capacity = machines * 11 / 10;
     World w(o);
-    for (int i = 0; i < machines; ++i) w.add_machine("gpu", o.zones[static_cast<std::size_t>(i) % 3], false, 1 + 20 * w.chance());
+    for (int i = 0; i < machines; ++i)
+        w.add_machine("gpu", o.zones[static_cast<std::size_t>(i) % 3], false, 1 + 20 * w.chance());
     w.run(25);
     std::vector<std::string> ids;
     auto add = [&](const char* kind) {
         ids.push_back(id_of(static_cast<int>(ids.size())));
         const std::string team = "t" + std::to_string(w.rng() % 16);
         const bool array = std::string(kind) == "array";
-        const int size = array ? 20 + static_cast<int>(w.rng() % 60) : 1 << (w.rng() % (std::string(kind) == "large" ? 5 : 3));
+        const int size = array ? 20 + static_cast<int>(w.rng() % 60)
+                               : 1 << (w.rng() % (std::string(kind) == "large" ? 5 : 3));
         Json j = w.job(ids.back(), size, array ? 4 : 8, 40 + 80 * w.chance(), team);
         j["gpus"] = array ? 1.0 : 2.0;
         j["ilk"] = kind;
@@ -314,7 +324,8 @@
     for (int i = 0; i < 406 / shrink; ++i) add("urgent");
     for (int second = 0; second < 60; ++second) {
         for (int i = 0; i < 3; ++i)
-            if (w.chance() * shrink < 1) add(i == 0 ? "large" : i == 1 ? "urgent" : second % 4 == 0 ? "urgent" : "array");
+            if (w.chance() * shrink < 1)
+                add(i == 0 ? "large" : i == 1 ? "urgent" : second % 4 == 0 ? "urgent" : "array");
         for (const auto& id : ids)
             if (w.accepted(id) && !w.done(id) && w.chance() < 0.2) w.poll(id);
         w.run(1);
@@ -323,7 +334,9 @@
     for (const auto& id : ids) accepted += w.accepted(id) ? 1 : 0;
     EXPECT_EQ(accepted, static_cast<int>(ids.size()));
     const double end = w.now() + 300;
-    auto left = [&] { return std::count_if(ids.begin(), ids.end(), [&](const auto& id) { return !w.done(id); }); };
+    auto left = [&] {
+        return std::count_if(ids.begin(), ids.end(), [&](const auto& id) { return !w.done(id); });
+    };
     while (left() > 0 && w.now() < end) {
         for (const auto& id : ids)
             if (!w.done(id) && w.accepted(id)) w.poll(id);
