--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -1,4 +1,5 @@
-// Two troubles meet: each meeting that the operators have named, brought about (docs/measurements.md, "Meetings of troubles").
+// Two troubles meet: each meeting that the operators have named, brought about (docs/measurements.md,
+// "Meetings of troubles").
 #include <gtest/gtest.h>
 
 #include "story.h"
@@ -21,8 +22,8 @@
     return o;
 }
 
-// A zone with its workers and a controller is cut off for longer than a lease, cancellations fall into it, and jobs bound
-// to one zone, arrays too, are in it.
+// A zone with its workers and a controller is cut off for longer than a lease, cancellations fall into it,
+// and jobs bound to one zone, arrays too, are in it.
 class ZoneCut : public testing::TestWithParam<std::uint64_t> {};
 TEST_P(ZoneCut, WorkMovesOnAndComesBack) {
     for (const Link cut : {Link::drop, Link::hold}) {
@@ -110,7 +111,8 @@
     }
 }
 
-// Machines hang with orders on their way and go on, within their lease and beyond, while owners hand over and back.
+// Machines hang with orders on their way and go on, within their lease and beyond, while owners hand over and
+// back.
 TEST(Meeting, HeldOrdersAndHandOvers) {
     for (std::uint64_t seed = 1; seed <= 4; ++seed) {
         World w(seeded(seed));
@@ -120,7 +122,8 @@
         for (int round = 0; round < 6; ++round) {
             std::vector<std::string> machines;
             for (auto& [id, m] : w.workers()) machines.push_back(id);
-            for (std::size_t i = static_cast<std::size_t>(round) % 2; i < machines.size(); i += 2) w.hang(machines[i], 3 + 9 * w.chance());
+            for (std::size_t i = static_cast<std::size_t>(round) % 2; i < machines.size(); i += 2)
+                w.hang(machines[i], 3 + 9 * w.chance());
             const int n = round % 3;
             w.crash(n);
             w.run(round % 2 == 0 ? 0.3 : 7);
@@ -135,7 +138,8 @@
     }
 }
 
-// An owner ends while machines with long tasks can't be reached, and others don't hear the new owner's answers.
+// An owner ends while machines with long tasks can't be reached, and others don't hear the new owner's
+// answers.
 TEST(Meeting, OwnerEndsWhileMachinesAreOutOfReach) {
     for (std::uint64_t seed = 1; seed <= 4; ++seed) {
         World w(seeded(seed));
@@ -162,8 +166,8 @@
     }
 }
 
-// The tasks of a job of three end far apart, each under other owners; its user asks, repeats the submission, and all is told
-// as it is.
+// The tasks of a job of three end far apart, each under other owners; its user asks, repeats the submission,
+// and all is told as it is.
 TEST(Meeting, EndsFarApartUnderManyTerms) {
     World::Options o = seeded(3);
     o.capacity = 1;
@@ -187,15 +191,16 @@
     EXPECT_EQ(w.checker.starts, 3);
 }
 
-// Machines that reach no controller while direct orders reach them: cancelled tasks are halted at once, the others are
-// lost with their lease and started elsewhere, never beside the first.
+// Machines that reach no controller while direct orders reach them: cancelled tasks are halted at once, the
+// others are lost with their lease and started elsewhere, never beside the first.
 TEST(Meeting, MuteMachines) {
     for (std::uint64_t seed = 1; seed <= 3; ++seed) {
         World w(seeded(seed));
         w.run(3);
         w.submit(w.job(id_of(1), 8, 1, 500));
         w.submit(w.job(id_of(2), 8, 1, 40));
-        ASSERT_TRUE(w.run_until([&] { return w.on_machines(id_of(1)) == 8 && w.on_machines(id_of(2)) == 8; }, 60));
+        ASSERT_TRUE(
+            w.run_until([&] { return w.on_machines(id_of(1)) == 8 && w.on_machines(id_of(2)) == 8; }, 60));
         for (auto& [id, m] : w.workers()) w.mute.insert(id);
         w.cancel(id_of(1), 0);
         ASSERT_TRUE(w.run_until([&] { return w.told(id_of(1)) == "withdrawn"; }, 4));
@@ -211,7 +216,8 @@
     }
 }
 
-// Owners change ten times in two minutes, an outage of the state service among them, with cancellations and questions.
+// Owners change ten times in two minutes, an outage of the state service among them, with cancellations and
+// questions.
 TEST(Meeting, TenOwnersInTwoMinutes) {
     for (std::uint64_t seed = 1; seed <= 3; ++seed) {
         World w(seeded(seed));
@@ -236,8 +242,8 @@
     }
 }
 
-// The state service answers slowly, refuses one controller alone, then all for longer than `cancel_s`, while users cancel and
-// ask.
+// The state service answers slowly, refuses one controller alone, then all for longer than `cancel_s`, while
+// users cancel and ask.
 TEST(Meeting, SlowThenRefusedThenDown) {
     for (std::uint64_t seed = 1; seed <= 3; ++seed) {
         World w(seeded(seed));
@@ -266,8 +272,8 @@
     }
 }
 
-// A controller is cut from the state service and from its peers, not from workers and users; jobs are cancelled through the
-// others, and its workers' reports come late to them.
+// A controller is cut from the state service and from its peers, not from workers and users; jobs are
+// cancelled through the others, and its workers' reports come late to them.
 TEST(Meeting, CutFromStateAndPeersOnly) {
     for (std::uint64_t seed = 1; seed <= 3; ++seed)
         for (const Link cut : {Link::drop, Link::hold}) {
@@ -275,7 +281,8 @@
             w.run(3);
             w.submit(w.job(id_of(1), 16, 1, 500));
             w.submit(w.job(id_of(2), 8, 1, 50));
-            ASSERT_TRUE(w.run_until([&] { return w.on_machines(id_of(1)) == 16 && w.on_machines(id_of(2)) == 8; }, 60));
+            ASSERT_TRUE(w.run_until(
+                [&] { return w.on_machines(id_of(1)) == 16 && w.on_machines(id_of(2)) == 8; }, 60));
             for (const char* o : {"state", "n1", "n2"}) w.link("n0", o, cut);
             w.copies = 0.3;
             w.copy_s = 20;
@@ -291,7 +298,8 @@
         }
 }
 
-// Commits get no answer and are carried out late, after newer ones of the same controller, while controllers restart.
+// Commits get no answer and are carried out late, after newer ones of the same controller, while controllers
+// restart.
 class LateWrites : public testing::TestWithParam<std::uint64_t> {};
 TEST_P(LateWrites, ChangeNothingThatCameAfter) {
     World w(seeded(GetParam()));
@@ -322,7 +330,8 @@
 }
 INSTANTIATE_TEST_SUITE_P(Seeds, LateWrites, testing::Range<std::uint64_t>(1, 7));
 
-// A cancellation, a question and a repeated submission meet the end of the last task, at one moment after another.
+// A cancellation, a question and a repeated submission meet the end of the last task, at one moment after
+// another.
 TEST(Meeting, CancelledAtTheEnd) {
     for (int moment = 0; moment < 40; ++moment) {
         World w(seeded(static_cast<std::uint64_t>(moment)));
@@ -346,8 +355,8 @@
     }
 }
 
-// A team at its limit when owners change, some of its machines can't be asked, and a cancellation falls into that spell: the
-// limit holds, and its room is neither lost nor given away.
+// A team at its limit when owners change, some of its machines can't be asked, and a cancellation falls into
+// that spell: the limit holds, and its room is neither lost nor given away.
 TEST(Meeting, TeamAtItsLimit) {
     for (std::uint64_t seed = 1; seed <= 4; ++seed) {
         World w(seeded(seed));
--- a/tests/model_test.cpp
+++ b/tests/model_test.cpp
@@ -10,15 +10,18 @@
 using zd::JobId;
 using zd::Revision;
 
-// Found by Pairs/501: a list's later answers were newer than its first ones, so that a page came before its job. When the
-// watch brought both in their order the page was skipped as known, and its tasks were taken for pending.
+// Found by Pairs/501: a list's later answers were newer than its first ones, so that a page came before its
+// job. When the watch brought both in their order the page was skipped as known, and its tasks were taken for
+// pending.
 TEST(Model, PageBeforeItsJob) {
     World w;
     w.run(3);
     w.submit(w.job(id_of(1), 2, 1, 500));
     ASSERT_TRUE(w.run_until([&] { return w.on_machines(id_of(1)) == 2; }, 60));
     const std::string job = "z/j/" + id_of(1), page = "z/t/" + id_of(1) + "/0";
-    auto item = [&](const std::string& key) { return Item{key, w.store.data.at(key).first, Revision{w.store.data.at(key).second}}; };
+    auto item = [&](const std::string& key) {
+        return Item{key, w.store.data.at(key).first, Revision{w.store.data.at(key).second}};
+    };
     zd::Settings settings;
     settings.value_kb = 4;
     zd::Model m(settings);
@@ -31,7 +34,8 @@
     EXPECT_TRUE(m.orphans().empty());
 }
 
-// A peer's word that a job is cancelled outlasts older versions of its record, and a list that was read before it.
+// A peer's word that a job is cancelled outlasts older versions of its record, and a list that was read
+// before it.
 TEST(Model, WordOfACancellationStays) {
     World w;
     w.run(3);
@@ -48,7 +52,8 @@
     EXPECT_FALSE(m.job(JobId(id_of(1)))->cancelled);
     m.call_off(JobId(id_of(1)));
     EXPECT_TRUE(m.job(JobId(id_of(1)))->cancelled);
-    m.apply({job, item.value, Revision{item.version.v + 1}});  // handed over, by whoever had not read the cancellation
+    m.apply({job, item.value,
+             Revision{item.version.v + 1}});  // handed over, by whoever had not read the cancellation
     EXPECT_TRUE(m.job(JobId(id_of(1)))->cancelled);
     EXPECT_EQ(told, 1);
     m.clear();
@@ -56,8 +61,8 @@
     EXPECT_TRUE(m.job(JobId(id_of(1)))->cancelled);
 }
 
-// What a team takes is counted from its placed tasks only where all starts up to its record's version are known: a record read
-// by itself, ahead of the watch, stands for starts that have not been read.
+// What a team takes is counted from its placed tasks only where all starts up to its record's version are
+// known: a record read by itself, ahead of the watch, stands for starts that have not been read.
 TEST(Model, TeamUseNeverTooLow) {
     zd::Settings settings;
     settings.value_kb = 4;
--- a/tests/sockets_test.cpp
+++ b/tests/sockets_test.cpp
@@ -1,4 +1,5 @@
-// The real loop, server and client on loopback. Nothing here sleeps: each test ends when what it waits for has come.
+// The real loop, server and client on loopback. Nothing here sleeps: each test ends when what it waits for
+// has come.
 #include <arpa/inet.h>
 #include <gtest/gtest.h>
 #include <sys/epoll.h>
@@ -39,8 +40,8 @@
     return l;
 }
 
-// The whole fleet holds its connections to one surviving controller: a health check and a worker are answered still,
-// and nobody who is being answered is cut off for it.
+// The whole fleet holds its connections to one surviving controller: a health check and a worker are answered
+// still, and nobody who is being answered is cut off for it.
 TEST(Sockets, FullServerAnswersHealthCheckAndWorker) {
     Loop loop;
     const std::string address = free_address();
@@ -49,19 +50,24 @@
     limits.evict_after = millis(1);
     Reply slow;
     HttpServer server(loop, address, limits, [&](HttpRequest r, const Reply& reply) {
-        if (r.path == "/slow") slow = reply;
-        else reply({200, r.path, -1});
+        if (r.path == "/slow")
+            slow = reply;
+        else
+            reply({200, r.path, -1});
     });
     HttpClient busy(loop, client_limits(1));
     HttpResponse late;
-    busy.request(address, {"GET", "/slow", ""}, std::chrono::seconds(15), [&](HttpResponse r) { late = std::move(r); });
+    busy.request(address, {"GET", "/slow", ""}, std::chrono::seconds(15),
+                 [&](HttpResponse r) { late = std::move(r); });
     ASSERT_TRUE(turn_until(loop, [&] { return slow != nullptr; }));
     std::vector<Fd> idle;
     for (int i = 0; i < 12; ++i) idle.push_back(start_connect(address));
     std::list<HttpClient> clients;  // until the loop ends: it holds their timers
     for (const char* path : {"/healthz", "/checkin"}) {
         HttpResponse got;
-        clients.emplace_back(loop, client_limits(1)).request(address, {"GET", path, ""}, std::chrono::seconds(10), [&](HttpResponse r) { got = std::move(r); });
+        clients.emplace_back(loop, client_limits(1))
+            .request(address, {"GET", path, ""}, std::chrono::seconds(10),
+                     [&](HttpResponse r) { got = std::move(r); });
         EXPECT_TRUE(turn_until(loop, [&] { return got.status != 0; }));
         EXPECT_EQ(got.body, path);
     }
@@ -70,8 +76,8 @@
     EXPECT_EQ(late.body, "at last");
 }
 
-// More workers to be told of a new term than there are connections: those kept alive to the ones already told make room,
-// and silent ones cost only their own time-out.
+// More workers to be told of a new term than there are connections: those kept alive to the ones already told
+// make room, and silent ones cost only their own time-out.
 TEST(Sockets, MoreWorkersThanConnections) {
     Loop loop;
     std::vector<std::string> addresses;
@@ -79,7 +85,9 @@
     for (int i = 0; i < 20; ++i) {
         addresses.push_back(free_address());
         servers.push_back(std::make_unique<HttpServer>(loop, addresses.back(), ServerLimits(),
-                                                       [](const HttpRequest&, const Reply& reply) { reply({200, "", -1}); }));
+                                                       [](const HttpRequest&, const Reply& reply) {
+                                                           reply({200, "", -1});
+                                                       }));
     }
     const std::string silent = free_address();
     HttpServer mute(loop, silent, ServerLimits(), [](const HttpRequest&, const Reply&) {});
@@ -87,28 +95,35 @@
     int told = 0, given_up = 0;
     const Mono began = loop.now();
     for (int i = 0; i < 3; ++i)
-        client.request(silent, {"POST", "/commands", "{}"}, millis(200), [&](const HttpResponse& r) { given_up += r.status == 0 ? 1 : 0; });
+        client.request(silent, {"POST", "/commands", "{}"}, millis(200),
+                       [&](const HttpResponse& r) { given_up += r.status == 0 ? 1 : 0; });
     for (const auto& a : addresses)
-        client.request(a, {"POST", "/commands", "{}"}, std::chrono::seconds(10), [&](const HttpResponse& r) { told += r.status == 200 ? 1 : 0; });
+        client.request(a, {"POST", "/commands", "{}"}, std::chrono::seconds(10),
+                       [&](const HttpResponse& r) { told += r.status == 200 ? 1 : 0; });
     EXPECT_TRUE(turn_until(loop, [&] { return told == 20; }));
-    EXPECT_LT(loop.now() - began, std::chrono::seconds(8));  // a kept-alive connection is closed only after 20 s
+    EXPECT_LT(loop.now() - began,
+              std::chrono::seconds(8));  // a kept-alive connection is closed only after 20 s
     EXPECT_TRUE(turn_until(loop, [&] { return given_up == 3; }));
 }
 
-// A body over the limit is refused by its announced length; a half-sent request and an idle connection are closed in time.
+// A body over the limit is refused by its announced length; a half-sent request and an idle connection are
+// closed in time.
 TEST(Sockets, UnfinishedAndIdleAreClosed) {
     Loop loop;
     const std::string address = free_address();
     ServerLimits limits;
     limits.idle = limits.request = millis(50);
-    HttpServer server(loop, address, limits, [](const HttpRequest&, const Reply& reply) { reply({200, "", -1}); });
+    HttpServer server(loop, address, limits, [](const HttpRequest&, const Reply& reply) {
+        reply({200, "", -1});
+    });
     auto ends = [&](const std::string& text) {
         Fd fd = start_connect(address);
         std::string got;
         bool sent = false, closed = false;
         loop.watch(fd.get(), EPOLLIN | EPOLLOUT, [&](std::uint32_t) {
             if (!std::exchange(sent, true)) {
-                EXPECT_EQ(::send(fd.get(), text.data(), text.size(), MSG_NOSIGNAL), static_cast<ssize_t>(text.size()));
+                EXPECT_EQ(::send(fd.get(), text.data(), text.size(), MSG_NOSIGNAL),
+                          static_cast<ssize_t>(text.size()));
                 loop.change(fd.get(), EPOLLIN);
                 return;
             }
--- a/tests/stories_test.cpp
+++ b/tests/stories_test.cpp
@@ -82,7 +82,8 @@
     expect_rules(w);
 }
 
-// A cancellation reaches workers that cannot be talked to through the loss of their tasks' lease, at the latest.
+// A cancellation reaches workers that cannot be talked to through the loss of their tasks' lease, at the
+// latest.
 TEST(Story, CancelDuringCutFromWorkers) {
     World w;
     w.run(3);
@@ -152,8 +153,9 @@
     expect_rules(w);
 }
 
-// Found by the random faults: a lease lapses while the state service is away, so its end cannot be committed yet, and
-// the worker is back in a new session. Told to start its old task again, it would have run beside the successor.
+// Found by the random faults: a lease lapses while the state service is away, so its end cannot be committed
+// yet, and the worker is back in a new session. Told to start its old task again, it would have run beside
+// the successor.
 TEST(Story, LapsedDuringOutageIsNotStartedAgain) {
     World w;
     w.run(3);
@@ -172,16 +174,17 @@
     expect_rules(w);
 }
 
-// Found by the random faults: an end judged under one term, queued while the node was cut off, must not be committed
-// under the node's next term: between the two another owner renewed the lease.
-// The moment decides whether the queue is looked at between the two terms, so several are tried.
+// Found by the random faults: an end judged under one term, queued while the node was cut off, must not be
+// committed under the node's next term: between the two another owner renewed the lease. The moment decides
+// whether the queue is looked at between the two terms, so several are tried.
 TEST(Story, EvidenceOfAnOldTermCountsNoMore) {
     for (int moment = 0; moment < 12; ++moment) {
         World w;
         w.run(3);
         w.submit(w.job(id_of(1), 12, 1, 90));
         ASSERT_TRUE(w.run_until([&] { return w.on_machines(id_of(1)) == 12; }, 60));
-        // n0 is refused by the state service and loses its workers: it judges their leases lapsed. Others serve them.
+        // n0 is refused by the state service and loses its workers: it judges their leases lapsed. Others
+        // serve them.
         w.store.refused.insert("n0");
         std::vector<std::string> machines;
         for (auto& [id, m] : w.workers()) machines.push_back(id);
@@ -234,7 +237,8 @@
     w.run(3);
     w.link("n0", "n1", Link::drop);
     w.link("n0", "n2", Link::drop);
-    // More than the cut-off relay's own machines will take: it hands its jobs over rather than leave them waiting.
+    // More than the cut-off relay's own machines will take: it hands its jobs over rather than leave them
+    // waiting.
     std::vector<std::string> ids;
     for (int i = 1; i <= 6; ++i) {
         ids.push_back(id_of(i));
@@ -401,20 +405,26 @@
     for (const char* shape : {"", "gang", "Batch"}) with("shape", shape);
     for (const char* rank : {"", "urgent"}) with("rank", rank);
     for (const Json& n : {Json(0), Json(-1), Json(100'001), Json(1.5)}) with("shards", n);
-    for (const char* key : {"vcpus", "gpus", "ram_gb", "image_gb", "guess_s", "mark_every_s", "stow_s"}) with(key, -1.0);
+    for (const char* key : {"vcpus", "gpus", "ram_gb", "image_gb", "guess_s", "mark_every_s", "stow_s"})
+        with(key, -1.0);
     with("breeds", Json::array({1}));
     with("due_s", "soon");
     for (const auto& [what, j] : bad) EXPECT_EQ(w.ask(0, "POST", "/api/jobs", j.dump()).status, 400) << what;
     std::string infinite = good.dump();
     const std::string cpus = "\"vcpus\":1.0";
     ASSERT_NE(infinite.find(cpus), std::string::npos);
-    EXPECT_EQ(w.ask(0, "POST", "/api/jobs", infinite.replace(infinite.find(cpus), cpus.size(), "\"vcpus\":1e999")).status, 400);
+    EXPECT_EQ(
+        w.ask(0, "POST", "/api/jobs", infinite.replace(infinite.find(cpus), cpus.size(), "\"vcpus\":1e999"))
+            .status,
+        400);
     w.run(1);
-    for (const auto& [k, v] : w.store.data) EXPECT_TRUE(k.rfind("z/j/", 0) != 0 && k.rfind("f/", 0) != 0) << k;
+    for (const auto& [k, v] : w.store.data)
+        EXPECT_TRUE(k.rfind("z/j/", 0) != 0 && k.rfind("f/", 0) != 0) << k;
 }
 
-// Reports arrive and nothing goes back: what was written into answers did not reach the machine. It gets no more tasks,
-// those it had are found gone with its lease though it is heard all along, and in the end it is returned.
+// Reports arrive and nothing goes back: what was written into answers did not reach the machine. It gets no
+// more tasks, those it had are found gone with its lease though it is heard all along, and in the end it is
+// returned.
 TEST(Story, MachineThatHearsNothing) {
     World w;
     w.run(3);
@@ -454,7 +464,8 @@
     expect_rules(w);
 }
 
-// A report held on its way arrives after the lease that it belongs to lapsed: nothing is placed on its dead machine.
+// A report held on its way arrives after the lease that it belongs to lapsed: nothing is placed on its dead
+// machine.
 TEST(Story, HeldReportRevivesNoMachine) {
     for (int owner = 0; owner < 3; ++owner) {
         World w;
@@ -513,8 +524,8 @@
     expect_rules(w);
 }
 
-// Copies of old reports to controllers that took over, restarted or saw the lease lapse: none of them proves anything,
-// so that nothing is started twice and nothing that runs is given up.
+// Copies of old reports to controllers that took over, restarted or saw the lease lapse: none of them proves
+// anything, so that nothing is started twice and nothing that runs is given up.
 TEST(Story, CopiesProveNothing) {
     World w;
     w.run(3);
@@ -537,8 +548,8 @@
     expect_rules(w);
 }
 
-// A controller is left with its workers alone, and nobody else knows their addresses any more: they learn the new term
-// by the cloud's list, or they would run a cancelled job for as long as the cut lasts.
+// A controller is left with its workers alone, and nobody else knows their addresses any more: they learn the
+// new term by the cloud's list, or they would run a cancelled job for as long as the cut lasts.
 TEST(Story, ControllerLeftWithItsWorkersAlone) {
     for (int alone = 0; alone < 3; ++alone) {
         World w;
@@ -571,8 +582,8 @@
     }
 }
 
-// Back within its session's length, a controller still looks alive: whatever it held, a part of a controller that is
-// away included, it must take up again itself.
+// Back within its session's length, a controller still looks alive: whatever it held, a part of a controller
+// that is away included, it must take up again itself.
 TEST(Story, BackInAFractionOfASecond) {
     for (int away = 0; away < 5; ++away)
         for (int second = 0; second < 5; ++second) {
@@ -581,7 +592,8 @@
             o.nodes = 5;
             World w(o);
             w.run(3);
-            // Two go; one comes back, so that the hash now names another controller for the part of the first.
+            // Two go; one comes back, so that the hash now names another controller for the part of the
+            // first.
             w.crash(away);
             w.crash(second);
             w.run(7);
@@ -601,7 +613,8 @@
         }
 }
 
-// What a controller sent before its end arrives after its return: its record must not go with the grant of before.
+// What a controller sent before its end arrives after its return: its record must not go with the grant of
+// before.
 TEST(Story, HeldMessagesOfTheLifeBefore) {
     for (int moment = 0; moment < 24; ++moment) {
         World w;
@@ -622,8 +635,8 @@
     }
 }
 
-// The record that the life before wrote comes once more, after the new one's: it ends with the old grant, while the
-// controller is up and holds its own.
+// The record that the life before wrote comes once more, after the new one's: it ends with the old grant,
+// while the controller is up and holds its own.
 TEST(Story, RecordTiedToTheGrantOfBefore) {
     World w;
     w.run(3);
@@ -634,8 +647,10 @@
     w.start_node(0);
     w.run(0.5);
     ASSERT_NE(w.store.grant_of("z/n/n0"), old);
-    const Json late = {{"if", Json::array()}, {"writes", {{{"set", "z/n/n0"}, {"value", Json::object()}, {"tether", old}}}}};
-    w.store.handle("n0", {"POST", "/commit", late.dump()}, [](const HttpResponse& r) { EXPECT_EQ(r.status, 200); });
+    const Json late = {{"if", Json::array()},
+                       {"writes", {{{"set", "z/n/n0"}, {"value", Json::object()}, {"tether", old}}}}};
+    w.store.handle("n0", {"POST", "/commit", late.dump()},
+                   [](const HttpResponse& r) { EXPECT_EQ(r.status, 200); });
     w.run(10);
     EXPECT_TRUE(w.store.data.contains("z/n/n0"));
     EXPECT_TRUE(w.node(0).cluster().term(0));
@@ -644,8 +659,8 @@
     expect_rules(w);
 }
 
-// A supplier back from a cut must not act on what it knew before: it took the machines that it had not heard for so
-// long, and that others had taken over, for silent ones and returned them with all that ran there.
+// A supplier back from a cut must not act on what it knew before: it took the machines that it had not heard
+// for so long, and that others had taken over, for silent ones and returned them with all that ran there.
 TEST(Story, SupplierBackFromACutReturnsNothingInUse) {
     for (const Link cut : {Link::drop, Link::hold}) {
         World w;
@@ -668,8 +683,8 @@
     }
 }
 
-// A supplier that has just started hears of machines by the cloud's list first: those that run are not slow to boot,
-// however old they are.
+// A supplier that has just started hears of machines by the cloud's list first: those that run are not slow
+// to boot, however old they are.
 TEST(Story, SupplierThatRestartsReturnsNothingInUse) {
     World w;
     w.run(3);
@@ -689,8 +704,8 @@
     expect_rules(w);
 }
 
-// Seven controllers and some four hundred machines: one home commits for a job, so that hardly a write meets another's;
-// what waits anywhere stays within bounds, and a status tells of it.
+// Seven controllers and some four hundred machines: one home commits for a job, so that hardly a write meets
+// another's; what waits anywhere stays within bounds, and a status tells of it.
 TEST(Story, ManyControllersAndMachines) {
     World::Options o;
     o.nodes = 7;
@@ -762,8 +777,8 @@
     expect_rules(w);
 }
 
-// Back from a cut, a controller finds more news than it takes in one answer: asked for again and again, they kept it out
-// for good. It reads the state in pages instead.
+// Back from a cut, a controller finds more news than it takes in one answer: asked for again and again, they
+// kept it out for good. It reads the state in pages instead.
 TEST(Story, NewsLongerThanAnAnswer) {
     World w;
     w.run(3);
@@ -777,8 +792,8 @@
     expect_rules(w);
 }
 
-// Every commit that was carried out arrives once more, long after the jobs are closed: none revives a job, a page or
-// a controller's old claim.
+// Every commit that was carried out arrives once more, long after the jobs are closed: none revives a job, a
+// page or a controller's old claim.
 TEST(Story, RepeatedCommitsChangeNothing) {
     World w;
     w.store.record = true;
@@ -807,7 +822,8 @@
     const auto parts = part("z/p/"), ends = part("f/"), teams = part("z/q/");
     ASSERT_GT(w.store.carried_out.size(), 30U);
     ASSERT_EQ(ends.size(), ids.size());
-    for (const auto& req : std::vector<HttpRequest>(w.store.carried_out)) w.store.handle("n0", req, [](const HttpResponse&) {});
+    for (const auto& req : std::vector<HttpRequest>(w.store.carried_out))
+        w.store.handle("n0", req, [](const HttpResponse&) {});
     w.run(1);
     EXPECT_TRUE(part("z/j/").empty());
     EXPECT_TRUE(part("z/t/").empty());
@@ -820,7 +836,8 @@
     expect_rules(w);
 }
 
-// Users, cloud, workers and state service get what they carried out once more, up to a minute and a half later.
+// Users, cloud, workers and state service get what they carried out once more, up to a minute and a half
+// later.
 TEST(Story, RepeatsOfEveryKind) {
     World w;
     w.repeats = 0.5;
@@ -839,12 +856,13 @@
     for (const auto& id : ids) w.poll(id);
     w.run(3);
     EXPECT_TRUE(w.workers().empty());  // no repeated rental left a machine behind
-    for (const auto& [k, v] : w.store.data) EXPECT_TRUE(k.rfind("z/j/", 0) != 0 && k.rfind("z/t/", 0) != 0) << k;
+    for (const auto& [k, v] : w.store.data)
+        EXPECT_TRUE(k.rfind("z/j/", 0) != 0 && k.rfind("z/t/", 0) != 0) << k;
     expect_rules(w);
 }
 
-// A supplier that stood still for longer than its lease knows nothing of the time since: by its old view, all that
-// others had taken over was silent, and it returned machines in use.
+// A supplier that stood still for longer than its lease knows nothing of the time since: by its old view, all
+// that others had taken over was silent, and it returned machines in use.
 TEST(Story, FrozenSupplierReturnsNothingInUse) {
     World w;
     w.run(3);
@@ -867,8 +885,8 @@
     expect_rules(w);
 }
 
-// Left with one worker alone, an owner must not order what it committed before: the job may be cancelled by now, and it
-// would never hear of it.
+// Left with one worker alone, an owner must not order what it committed before: the job may be cancelled by
+// now, and it would never hear of it.
 TEST(Story, NothingIsStartedWithoutTheStateService) {
     World::Options o;
     o.capacity = 1;
@@ -903,7 +921,8 @@
     expect_rules(w);
 }
 
-// Anything may happen at any time, several things at once: the rules hold, and once it is over all work gets done.
+// Anything may happen at any time, several things at once: the rules hold, and once it is over all work gets
+// done.
 class RandomFaults : public testing::TestWithParam<std::uint64_t> {};
 TEST_P(RandomFaults, RulesHold) {
     World::Options o;
--- a/tests/story.h
+++ b/tests/story.h
@@ -26,15 +26,23 @@
         if (w.now() > end) {
             for (const auto& id : ids)
                 if (w.told(id) != "done" && w.told(id) != "withdrawn")
-                    ADD_FAILURE() << id << " accepted " << w.accepted(id) << " told '" << w.told(id) << "' state service: "
-                                  << (w.store.data.contains("z/j/" + id) ? w.store.data["z/j/" + id].first.dump() : "-")
-                                  << (w.store.data.contains("z/t/" + id + "/0") ? w.store.data["z/t/" + id + "/0"].first.dump() : "-")
-                                  << w.store.data.contains("f/" + id) << " asked directly: " << [&] {
-                                         std::string answers;
-                                         for (int n = 0; n < w.nodes(); ++n)
-                                             answers += w.up(n) ? std::to_string(w.ask(n, "GET", "/api/jobs/" + id).status) + " " : "down ";
-                                         return answers;
-                                     }() << (w.cancelling(id) ? "its cancellation was never answered" : "");
+                    ADD_FAILURE() << id << " accepted " << w.accepted(id) << " told '" << w.told(id)
+                                  << "' state service: "
+                                  << (w.store.data.contains("z/j/" + id)
+                                          ? w.store.data["z/j/" + id].first.dump()
+                                          : "-")
+                                  << (w.store.data.contains("z/t/" + id + "/0")
+                                          ? w.store.data["z/t/" + id + "/0"].first.dump()
+                                          : "-")
+                                  << w.store.data.contains("f/" + id) << " asked directly: " <<
+                        [&] {
+                            std::string answers;
+                            for (int n = 0; n < w.nodes(); ++n)
+                                answers +=
+                                    w.up(n) ? std::to_string(w.ask(n, "GET", "/api/jobs/" + id).status) + " "
+                                            : "down ";
+                            return answers;
+                        }() << (w.cancelling(id) ? "its cancellation was never answered" : "");
             return false;
         }
         w.run(2);
--- a/tests/units_test.cpp
+++ b/tests/units_test.cpp
@@ -51,7 +51,8 @@
 TEST(Settings, MissingOrWrongOnesNameTheirKey) {
     EXPECT_EQ(parse_settings(good_settings).txn_ops, 8U);
     std::string text = good_settings;
-    for (const char* line : {"node = \"n0\"", "lease_s = 10.0", "txn_ops = 8", "api_addr = \"10.0.0.1:8080\""}) {
+    for (const char* line :
+         {"node = \"n0\"", "lease_s = 10.0", "txn_ops = 8", "api_addr = \"10.0.0.1:8080\""}) {
         std::string without = text;
         without.erase(without.find(line), std::string(line).size());
         std::string key = std::string(line).substr(0, std::string(line).find(' '));
@@ -84,7 +85,8 @@
 }
 
 TEST(PeerMessages, RoundTrip) {
-    wire::Ask a{{NodeName("n1"), 7}, JobId("job-1"), NodeName("n2"), 3, {1000, 0, 5}, "img", wire::Rank::high, {1, 2, 99}};
+    wire::Ask a{{NodeName("n1"), 7}, JobId("job-1"), NodeName("n2"),   3,
+                {1000, 0, 5},        "img",          wire::Rank::high, {1, 2, 99}};
     std::string frame = wire::encode(a);
     auto m = wire::decode(std::string_view(frame).substr(wire::peer_header));
     ASSERT_TRUE(m);
@@ -98,16 +100,26 @@
 // Truncated, changed and random bytes are refused or decode to something: never more than that.
 TEST(PeerMessages, SurviveMutation) {
     std::mt19937_64 rng(5);
-    wire::Beat beat{{5, 6, 7, 8, true, true, {JobId("job-1"), JobId("job-22")}}, true, 9, 3, {{MachineId("host-1"), "t", "z", "1.2.3.4:5", true, true, false, 3, 1, 2, 3}}};
-    wire::Offers offers{{NodeName("n"), 1}, JobId("job-2"), NodeName("m"), 3, true, {0, 1}, {{MachineId("host-2"), "z", -5}}};
-    wire::Settle settle{JobId("job-3"), {{0, 7, 2, MachineId("host-3"), "z", 41, 9}, {2, 8, 1, MachineId("host-4"), "", 41, 10}}};
-    wire::Settled settled{{{9, true}, {10, false}}, {{"z/t/job-3/0", R"({"p":[[7,2,"host-3"]]})", 42}, {"z/j/job-3", "", 42}}};
+    wire::Beat beat{{5, 6, 7, 8, true, true, {JobId("job-1"), JobId("job-22")}},
+                    true,
+                    9,
+                    3,
+                    {{MachineId("host-1"), "t", "z", "1.2.3.4:5", true, true, false, 3, 1, 2, 3}}};
+    wire::Offers offers{
+        {NodeName("n"), 1}, JobId("job-2"), NodeName("m"), 3, true, {0, 1}, {{MachineId("host-2"), "z", -5}}};
+    wire::Settle settle{
+        JobId("job-3"),
+        {{0, 7, 2, MachineId("host-3"), "z", 41, 9}, {2, 8, 1, MachineId("host-4"), "", 41, 10}}};
+    wire::Settled settled{{{9, true}, {10, false}},
+                          {{"z/t/job-3/0", R"({"p":[[7,2,"host-3"]]})", 42}, {"z/j/job-3", "", 42}}};
     wire::Reserve reserve{true, {{MachineId("host-5"), "c", wire::Rank::high, 5000, JobId("job-4")}}};
     int refused = 0;
-    for (const wire::PeerMessage& m : {wire::PeerMessage(beat), wire::PeerMessage(offers), wire::PeerMessage(settle),
-                                       wire::PeerMessage(settled), wire::PeerMessage(reserve)}) {
+    for (const wire::PeerMessage& m :
+         {wire::PeerMessage(beat), wire::PeerMessage(offers), wire::PeerMessage(settle),
+          wire::PeerMessage(settled), wire::PeerMessage(reserve)}) {
         std::string frame = wire::encode(m).substr(wire::peer_header);
-        for (std::size_t n = 0; n < frame.size(); ++n) EXPECT_FALSE(wire::decode(std::string_view(frame).substr(0, n)));
+        for (std::size_t n = 0; n < frame.size(); ++n)
+            EXPECT_FALSE(wire::decode(std::string_view(frame).substr(0, n)));
         EXPECT_FALSE(wire::decode(frame + "x"));
         for (int i = 0; i < 3000; ++i) {
             std::string bad = frame;
@@ -118,17 +130,20 @@
     EXPECT_GT(refused, 100);
 }
 
-// A job of one zone, bound to none yet, gets the zone that can take most of it; a gang only one that takes it whole.
+// A job of one zone, bound to none yet, gets the zone that can take most of it; a gang only one that takes it
+// whole.
 TEST(Choice, TheZoneThatTakesMost) {
     std::mt19937_64 rng(1);
     auto offer = [](const char* m, const char* z, std::int64_t score) {
         return sched::ScoredOffer{{MachineId(m), z, score}, NodeName("n")};
     };
-    const std::vector<sched::ScoredOffer> offers{offer("host-1", "a", 900), offer("host-2", "b", 10), offer("host-3", "b", 20), offer("host-4", "a", 5),
+    const std::vector<sched::ScoredOffer> offers{offer("host-1", "a", 900), offer("host-2", "b", 10),
+                                                 offer("host-3", "b", 20), offer("host-4", "a", 5),
                                                  offer("host-5", "b", 1)};
     auto yes = sched::choose(offers, {0, 1, 2}, true, std::nullopt, rng, true);
     ASSERT_EQ(yes[NodeName("n")].size(), 3U);
-    for (const auto& a : yes[NodeName("n")]) EXPECT_TRUE(a.machine != MachineId("host-1") && a.machine != MachineId("host-4"));
+    for (const auto& a : yes[NodeName("n")])
+        EXPECT_TRUE(a.machine != MachineId("host-1") && a.machine != MachineId("host-4"));
     yes = sched::choose(offers, {0, 1}, true, std::nullopt, rng, true);  // both zones can: the better scores
     ASSERT_EQ(yes[NodeName("n")].size(), 2U);
     EXPECT_EQ(yes[NodeName("n")][0].machine, MachineId("host-1"));
@@ -164,7 +179,8 @@
     EXPECT_EQ(p.target, "/api/jobs");
     HttpMessageParser big(true, max_request_body);
     std::size_t used = 0;
-    EXPECT_EQ(big.feed("POST / HTTP/1.1\r\nContent-Length: 65537\r\n\r\n", used), HttpMessageParser::State::too_large);
+    EXPECT_EQ(big.feed("POST / HTTP/1.1\r\nContent-Length: 65537\r\n\r\n", used),
+              HttpMessageParser::State::too_large);
     std::mt19937_64 rng(6);
     int broken = 0;
     for (int i = 0; i < 3000; ++i) {
@@ -206,7 +222,8 @@
 
 TEST(Choose, GangAllOrNothing) {
     std::mt19937_64 rng(1);
-    std::vector<sched::ScoredOffer> offers{{{MachineId("m1"), "a", 5}, NodeName("x")}, {{MachineId("m2"), "a", 9}, NodeName("y")}};
+    std::vector<sched::ScoredOffer> offers{{{MachineId("m1"), "a", 5}, NodeName("x")},
+                                           {{MachineId("m2"), "a", 9}, NodeName("y")}};
     EXPECT_TRUE(sched::choose(offers, {0, 1, 2}, true, {}, rng).empty());
     auto yes = sched::choose(offers, {0}, true, {}, rng);
     ASSERT_TRUE(yes.contains(NodeName("y")));
@@ -263,15 +280,18 @@
     Asked env;
     const Settings settings = parse_settings(good_settings);
     StoreClient store(env, settings);
-    for (int i = 0; i < 300; ++i) store.get("z/t/job-1/" + std::to_string(i), Urgency::decision, [](const GetResult&) {});
+    for (int i = 0; i < 300; ++i)
+        store.get("z/t/job-1/" + std::to_string(i), Urgency::decision, [](const GetResult&) {});
     const std::size_t before = env.paths.size();
     EXPECT_LT(before, 200U);
-    for (int i = 0; i < 30; ++i) store.get("z/j/job-" + std::to_string(i), Urgency::user, [](const GetResult&) {});
+    for (int i = 0; i < 30; ++i)
+        store.get("z/j/job-" + std::to_string(i), Urgency::user, [](const GetResult&) {});
     EXPECT_EQ(env.paths.size(), before + 30);
     EXPECT_EQ(env.paths.back(), "/store/z/j/job-29");
 }
 
-// What users and workers may hold is what our own calls leave, at any valid number of sockets and controllers.
+// What users and workers may hold is what our own calls leave, at any valid number of sockets and
+// controllers.
 TEST(Settings, SocketsAreSharedOut) {
     Settings s = parse_settings(good_settings);
     for (const std::uint32_t sockets : {32U, 900U, 3194U, 10'000'000U})
@@ -279,7 +299,8 @@
             s.max_sockets = sockets;
             s.seeds.assign(peers, Seed{NodeName("n9"), "a", "10.0.0.9:1"});
             const auto share = s.sockets();
-            for (const std::size_t n : {share.state, share.cloud, share.workers, share.server}) EXPECT_GE(n, 2U);
+            for (const std::size_t n : {share.state, share.cloud, share.workers, share.server})
+                EXPECT_GE(n, 2U);
             if (sockets >= 900) {
                 EXPECT_LE(share.state + share.cloud + share.workers + share.peers + share.server, sockets);
             }
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -53,7 +53,8 @@
   private:
     // What a process left behind dies with it.
     std::function<void()> guarded(std::function<void()> fn) {
-        return [&w = w_, host = host_, life = life_, fn = std::move(fn)] { w.deliver(host, life, 0.001, fn); };
+        return
+            [&w = w_, host = host_, life = life_, fn = std::move(fn)] { w.deliver(host, life, 0.001, fn); };
     }
     World& w_;
     std::size_t host_;
@@ -73,8 +74,10 @@
         grant_of_.erase(g);
     }
     if (!v && !data.contains(key)) return;
-    if (v) data[key] = {*v, revision};
-    else data.erase(key);
+    if (v)
+        data[key] = {*v, revision};
+    else
+        data.erase(key);
     log_.push_back({key, std::move(v), revision});
     if (log_.size() > 10'000) log_.pop_front();
 }
@@ -98,16 +101,21 @@
         waiter.reply({410, "{}", -1});
         return true;
     }
-    auto first = std::upper_bound(log_.begin(), log_.end(), waiter.after, [](std::uint64_t v, const Event& e) { return v < e.version; });
+    auto first = std::upper_bound(log_.begin(), log_.end(), waiter.after,
+                                  [](std::uint64_t v, const Event& e) { return v < e.version; });
     for (; first != log_.end(); ++first)
         if (const Event& e = *first; e.key.rfind(waiter.prefix, 0) == 0) {
-            if (e.value) news.push_back({{"set", e.key}, {"value", *e.value}, {"stamp", e.version}});
-            else news.push_back({{"delete", e.key}, {"stamp", e.version}});
+            if (e.value)
+                news.push_back({{"set", e.key}, {"value", *e.value}, {"stamp", e.version}});
+            else
+                news.push_back({{"delete", e.key}, {"stamp", e.version}});
         }
     if (news.empty() && !late) return false;
     std::string text = Json{{"epoch", revision}, {"news", news}}.dump();
-    if (longest_news > 0 && text.size() > longest_news) waiter.reply({});
-    else waiter.reply({200, std::move(text), -1});
+    if (longest_news > 0 && text.size() > longest_news)
+        waiter.reply({});
+    else
+        waiter.reply({200, std::move(text), -1});
     return true;
 }
 
@@ -139,7 +147,8 @@
         return req.path.substr(at, req.path.find('&', at) - at);
     };
     if (req.path.rfind("/watch", 0) == 0) {
-        Waiter w{param("prefix"), from, std::stoull(param("after")), w_.now() + std::stod(param("hold_ms")) / 1000, reply};
+        Waiter w{param("prefix"), from, std::stoull(param("after")),
+                 w_.now() + std::stod(param("hold_ms")) / 1000, reply};
         if (!answer(w, false)) waiters_.push_back(std::move(w));
         return;
     }
@@ -160,7 +169,9 @@
     if (req.path.rfind("/store/", 0) == 0) {
         auto it = data.find(req.path.substr(7));
         if (it == data.end()) return reply({404, Json{{"epoch", revision}}.dump(), -1});
-        return reply({200, Json{{"key", it->first}, {"value", it->second.first}, {"stamp", it->second.second}}.dump(), -1});
+        return reply(
+            {200, Json{{"key", it->first}, {"value", it->second.first}, {"stamp", it->second.second}}.dump(),
+             -1});
     }
     if (req.path == "/grants") {
         std::uint64_t id = next_grant_++;
@@ -184,12 +195,14 @@
     Json failed = Json::array();
     for (const auto& c : body["if"]) {
         auto it = data.find(c["key"].get<std::string>());
-        if ((it == data.end() ? 0 : it->second.second) != c["stamp"].get<std::uint64_t>()) failed.push_back(c["key"]);
+        if ((it == data.end() ? 0 : it->second.second) != c["stamp"].get<std::uint64_t>())
+            failed.push_back(c["key"]);
     }
     for (const auto& w : body["writes"]) {
         if (w.contains("tether") && !grants_.contains(w["tether"].get<std::uint64_t>()))
             return reply({400, R"({"error":"no such lease"})", -1});
-        if (w.contains("set") && w["value"].dump().size() > most_value) oversize = w["set"].get<std::string>();
+        if (w.contains("set") && w["value"].dump().size() > most_value)
+            oversize = w["set"].get<std::string>();
     }
     if (!failed.empty()) return reply({409, Json{{"failed", failed}, {"epoch", revision}}.dump(), -1});
     if (record) carried_out.push_back(req);
@@ -227,20 +240,26 @@
     std::string zones;
     for (const auto& z : options_.zones) zones += (zones.empty() ? "\"" : ", \"") + z + "\"";
     for (int i = 0; i < options_.nodes; ++i) {
-        std::string s = "node = \"" + name(i) + "\"\nzone = \"a\"\napi_addr = \"10.0.0." + std::to_string(i + 1) +
-                        ":8080\"\ncluster_listen = \"10.0.0." + std::to_string(i + 1) + ":8081\"\n";
+        std::string s = "node = \"" + name(i) + "\"\nzone = \"a\"\napi_addr = \"10.0.0." +
+                        std::to_string(i + 1) + ":8080\"\ncluster_listen = \"10.0.0." +
+                        std::to_string(i + 1) + ":8081\"\n";
         for (int k = 0; k < options_.nodes; ++k)
             if (k != i)
-                s += "[[seeds]]\nnode = \"" + name(k) + "\"\nzone = \"a\"\naddress = \"10.0.0." + std::to_string(k + 1) +
-                     ":8081\"\n";
+                s += "[[seeds]]\nnode = \"" + name(k) + "\"\nzone = \"a\"\naddress = \"10.0.0." +
+                     std::to_string(k + 1) + ":8081\"\n";
         s += "[outside]\ncloud = \"10.2.0.2:8443\"\nstate = \"10.2.0.1:2379\"\n[params]\nsize = " +
-             std::to_string(options_.nodes) + "\nzones = [" + zones + "]\nskew_ms = 100.0\n" + options_.teams +
-             "[params.workers]\nreport_s = " + std::to_string(options_.report_s) + "\nlease_s = " + std::to_string(options_.lease_s) +
+             std::to_string(options_.nodes) + "\nzones = [" + zones + "]\nskew_ms = 100.0\n" +
+             options_.teams + "[params.workers]\nreport_s = " + std::to_string(options_.report_s) +
+             "\nlease_s = " + std::to_string(options_.lease_s) +
              "\ngang_wait_s = 30.0\ngang_peer_s = 4.0\ncancel_s = " + std::to_string(options_.cancel_s) +
-             "\n[params.state]\nrps = " + std::to_string(options_.state_rps) + "\nwrite_rps = " + std::to_string(options_.write_rps) +
-             "\nvalue_kb = " + std::to_string(options_.value_kb) + "\ntxn_ops = " + std::to_string(options_.txn_ops) + "\n[params.cloud]\nrps = " +
-             std::to_string(options_.cloud_rps) + "\nlist_lag_s = 3.0\n[params.machine_limits]\ncore_share = 0.1\nmemory_mb = " +
-             std::to_string(options_.memory_mb) + "\nmax_sockets = " + std::to_string(options_.max_sockets) + "\n";
+             "\n[params.state]\nrps = " + std::to_string(options_.state_rps) +
+             "\nwrite_rps = " + std::to_string(options_.write_rps) +
+             "\nvalue_kb = " + std::to_string(options_.value_kb) +
+             "\ntxn_ops = " + std::to_string(options_.txn_ops) +
+             "\n[params.cloud]\nrps = " + std::to_string(options_.cloud_rps) +
+             "\nlist_lag_s = 3.0\n[params.machine_limits]\ncore_share = 0.1\nmemory_mb = " +
+             std::to_string(options_.memory_mb) + "\nmax_sockets = " + std::to_string(options_.max_sockets) +
+             "\n";
         Host h;
         h.settings = zd::parse_settings(s);
         hosts_.push_back(std::move(h));
@@ -309,7 +328,8 @@
     Host& h = hosts_[host];
     if (h.life != life || !h.node) return;
     if (frozen(host)) {
-        at(h.frozen_until - now_ + lag, [this, host, life, lag, fn = std::move(fn)] { deliver(host, life, lag, fn); });
+        at(h.frozen_until - now_ + lag,
+           [this, host, life, lag, fn = std::move(fn)] { deliver(host, life, lag, fn); });
         return;
     }
     fn();
@@ -358,14 +378,16 @@
         }
         send(from, "state", [this, from, req, reply] {
             store.handle(from, req, [this, from, reply](HttpResponse r) {
-                at(store_delay * chance(), [this, from, reply, r = std::move(r)] { send("state", from, [reply, r] { reply(r); }); });
+                at(store_delay * chance(),
+                   [this, from, reply, r = std::move(r)] { send("state", from, [reply, r] { reply(r); }); });
             });
         });
     } else if (address == "10.2.0.2:8443") {
         repeat_later(req, [this, req] { cloud(req, [](const HttpResponse&) {}); });
         send(from, "cloud", [this, from, req, reply] {
             cloud(req, [this, from, reply](HttpResponse r) {
-                at(0.1, [this, from, reply, r = std::move(r)] { send("cloud", from, [reply, r] { reply(r); }); });
+                at(0.1,
+                   [this, from, reply, r = std::move(r)] { send("cloud", from, [reply, r] { reply(r); }); });
             });
         });
     } else {
@@ -386,8 +408,10 @@
                 });
             };
             if (!to.alive) return;
-            if (to.hung) to.while_hung.push_back(act);  // executed when it goes on
-            else act();
+            if (to.hung)
+                to.while_hung.push_back(act);  // executed when it goes on
+            else
+                act();
         });
     }
 }
@@ -395,7 +419,8 @@
 void World::cloud(const HttpRequest& req, const Reply& reply) {
     if (options_.budgets) {
         const double rate = options_.cloud_rps;
-        cloud_tokens_ = cloud_last_ < 0 ? 2 * rate : std::min(2 * rate, cloud_tokens_ + rate * (now_ - cloud_last_));
+        cloud_tokens_ =
+            cloud_last_ < 0 ? 2 * rate : std::min(2 * rate, cloud_tokens_ + rate * (now_ - cloud_last_));
         cloud_last_ = now_;
         if (cloud_tokens_ < 1) return reply({429, "{}", -1});
         cloud_tokens_ -= 1;
@@ -405,10 +430,26 @@
         Json zones = options_.zones;
         return reply({200,
                       Json{{"breeds",
-                            {{{"sku", "small"}, {"vcpus", 4.0}, {"gpus", 0.0}, {"ram_gb", 16.0}, {"local_gb", 50.0},
-                              {"fetch_gb_per_s", 1.0}, {"hourly", 1.0}, {"low_price", 0.4}, {"boot_s", options_.boot_s}, {"fields", zones}},
-                             {{"sku", "gpu"}, {"vcpus", 8.0}, {"gpus", 2.0}, {"ram_gb", 32.0}, {"local_gb", 50.0},
-                              {"fetch_gb_per_s", 1.0}, {"hourly", 4.0}, {"low_price", 1.5}, {"boot_s", options_.boot_s}, {"fields", zones}}}}}
+                            {{{"sku", "small"},
+                              {"vcpus", 4.0},
+                              {"gpus", 0.0},
+                              {"ram_gb", 16.0},
+                              {"local_gb", 50.0},
+                              {"fetch_gb_per_s", 1.0},
+                              {"hourly", 1.0},
+                              {"low_price", 0.4},
+                              {"boot_s", options_.boot_s},
+                              {"fields", zones}},
+                             {{"sku", "gpu"},
+                              {"vcpus", 8.0},
+                              {"gpus", 2.0},
+                              {"ram_gb", 32.0},
+                              {"local_gb", 50.0},
+                              {"fetch_gb_per_s", 1.0},
+                              {"hourly", 4.0},
+                              {"low_price", 1.5},
+                              {"boot_s", options_.boot_s},
+                              {"fields", zones}}}}}
                           .dump(),
                       -1});
     }
@@ -424,8 +465,13 @@
                 break;
             }
             if (born_[id] + 3 < now_)
-                list.push_back({{"uid", id}, {"address", w.address}, {"breed", w.type}, {"field", w.zone}, {"loaners", w.spot},
-                                {"phase", w.node == SIZE_MAX ? "booting" : "running"}, {"held_s", now_ - born_[id]}});
+                list.push_back({{"uid", id},
+                                {"address", w.address},
+                                {"breed", w.type},
+                                {"field", w.zone},
+                                {"loaners", w.spot},
+                                {"phase", w.node == SIZE_MAX ? "booting" : "running"},
+                                {"held_s", now_ - born_[id]}});
         }
         return reply({200, Json{{"werven", list}, {"has_next", more}}.dump(), -1});
     }
@@ -448,8 +494,10 @@
         if (n <= 0) return reply({503, R"({"error":"no capacity"})", -1});
         for (int i = 0; i < n; ++i) {
             ++rented;
-            hire_answers_[hire].push_back(
-                add_machine(b["breed"].get<std::string>(), b["field"].get<std::string>(), b["loaners"].get<bool>(), options_.boot_s * (0.6 + chance())).id);
+            hire_answers_[hire].push_back(add_machine(b["breed"].get<std::string>(),
+                                                      b["field"].get<std::string>(), b["loaners"].get<bool>(),
+                                                      options_.boot_s * (0.6 + chance()))
+                                              .id);
         }
     }
     hires.insert(hire);
@@ -463,7 +511,8 @@
     std::snprintf(id, sizeof id, "host-%06llu", static_cast<unsigned long long>(++next_machine_));
     Worker w;
     w.id = id;
-    w.address = "10.1." + std::to_string(next_machine_ / 200) + "." + std::to_string(next_machine_ % 200 + 1) + ":9000";
+    w.address = "10.1." + std::to_string(next_machine_ / 200) + "." +
+                std::to_string(next_machine_ % 200 + 1) + ":9000";
     w.type = type;
     w.zone = zone;
     w.spot = spot;
@@ -528,8 +577,9 @@
         }
         list.push_back(std::move(e));
     }
-    Json r = {{"werf", w.id}, {"address", w.address}, {"breed", w.type}, {"field", w.zone}, {"loaners", w.spot},
-              {"tenure", w.session}, {"tick", w.seq}, {"baton", w.term}, {"shards", list}, {"warning_s", nullptr}};
+    Json r = {{"werf", w.id},      {"address", w.address}, {"breed", w.type}, {"field", w.zone},
+              {"loaners", w.spot}, {"tenure", w.session},  {"tick", w.seq},   {"baton", w.term},
+              {"shards", list},    {"warning_s", nullptr}};
     if (w.notice_at) r["warning_s"] = std::max(0.0, *w.notice_at - now_);
     return r.dump();
 }
@@ -570,41 +620,47 @@
     }
     if (copies > 0 && chance() < copies) {
         at(copy_s * chance(), [this, target, body] {
-            if (up(static_cast<int>(target))) hosts_[target].node->on_request({"POST", "/checkin", body}, [](const HttpResponse&) {});
+            if (up(static_cast<int>(target)))
+                hosts_[target].node->on_request({"POST", "/checkin", body}, [](const HttpResponse&) {});
         });
     }
     send(id, node_name, [this, id, node_name, target, body, settle, sent, session] {
         if (!up(static_cast<int>(target))) return;
-        deliver(target, hosts_[target].life, 0, [=, this] { hosts_[target].node->on_request({"POST", "/checkin", body}, [this, id, node_name, target, settle, sent, session](HttpResponse r) {
-            send(node_name, id, [this, id, target, settle, sent, session, r] {
-                auto it = workers_.find(id);
-                if (it == workers_.end() || !it->second.alive || it->second.hung || it->second.flight == 0) return;
-                Worker& w2 = it->second;
-                Json j = Json::parse(r.body, nullptr, false);
-                if (r.status == 421) {
-                    std::size_t next = target + 1;
-                    double wait = 1;
-                    for (std::size_t i = 0; i < hosts_.size(); ++i)
-                        if (j.value("foreman", "") == hosts_[i].settings.node.v && i != target) {
-                            next = i;
-                            wait = 0.2;
-                        }
-                    settle(wait, next);
-                    return;
-                }
-                if (r.status != 200) {
-                    settle(1, target + 1);
-                    return;
-                }
-                if (!settle(report_s * (0.75 + 0.5 * chance()), target)) return;
-                std::uint64_t term = j.value("baton", std::uint64_t{0});
-                if (term < w2.term || term == 0 || session != w2.session) return;
-                w2.term = term;
-                if (now_ - w2.lease_from > lease_s) return;
-                w2.lease_from = std::max(w2.lease_from, sent);
-                execute(w2, j["orders"]);
+        deliver(target, hosts_[target].life, 0, [=, this] {
+            hosts_[target].node->on_request({"POST", "/checkin", body}, [this, id, node_name, target, settle,
+                                                                         sent, session](HttpResponse r) {
+                send(node_name, id, [this, id, target, settle, sent, session, r] {
+                    auto it = workers_.find(id);
+                    if (it == workers_.end() || !it->second.alive || it->second.hung ||
+                        it->second.flight == 0)
+                        return;
+                    Worker& w2 = it->second;
+                    Json j = Json::parse(r.body, nullptr, false);
+                    if (r.status == 421) {
+                        std::size_t next = target + 1;
+                        double wait = 1;
+                        for (std::size_t i = 0; i < hosts_.size(); ++i)
+                            if (j.value("foreman", "") == hosts_[i].settings.node.v && i != target) {
+                                next = i;
+                                wait = 0.2;
+                            }
+                        settle(wait, next);
+                        return;
+                    }
+                    if (r.status != 200) {
+                        settle(1, target + 1);
+                        return;
+                    }
+                    if (!settle(report_s * (0.75 + 0.5 * chance()), target)) return;
+                    std::uint64_t term = j.value("baton", std::uint64_t{0});
+                    if (term < w2.term || term == 0 || session != w2.session) return;
+                    w2.term = term;
+                    if (now_ - w2.lease_from > lease_s) return;
+                    w2.lease_from = std::max(w2.lease_from, sent);
+                    execute(w2, j["orders"]);
+                });
             });
-        }); });
+        });
     });
 }
 
@@ -612,7 +668,8 @@
     if (req.path == "/status") return reply({200, report_body(w), -1});
     Json b = Json::parse(req.body);
     std::uint64_t term = b["baton"].get<std::uint64_t>();
-    if (term < w.term || b["tenure"].get<std::uint64_t>() != w.session) return reply({409, report_body(w), -1});
+    if (term < w.term || b["tenure"].get<std::uint64_t>() != w.session)
+        return reply({409, report_body(w), -1});
     w.term = term;
     execute(w, b["orders"]);
     reply({200, report_body(w), -1});
@@ -632,14 +689,16 @@
             if (it == w.tasks.end() || it->second.phase == "ended") continue;
             const Json& body = jobs_[it->second.job].body;
             double stow = body.value("stow_s", 0.0);
-            if (it->second.phase == "running" && body.value("mark_every_s", 0.0) > 0 && o.value("respite_s", 0.0) >= stow) {
+            if (it->second.phase == "running" && body.value("mark_every_s", 0.0) > 0 &&
+                o.value("respite_s", 0.0) >= stow) {
                 it->second.phase = "saving";
                 std::uint64_t step = ++it->second.step;
                 at(stow, [this, id = w.id, key, step] {
                     auto ww = workers_.find(id);
                     if (ww == workers_.end()) return;
                     auto t = ww->second.tasks.find(key);
-                    if (t != ww->second.tasks.end() && t->second.step == step) end_task(ww->second, key, "halted", true);
+                    if (t != ww->second.tasks.end() && t->second.step == step)
+                        end_task(ww->second, key, "halted", true);
                 });
             } else if (it->second.phase != "saving" || o.value("respite_s", 0.0) == 0) {
                 end_task(w, key, "halted");
@@ -710,7 +769,8 @@
     for (const auto& wid : gang_at_[job])
         if (auto o = workers_.find(wid); o != workers_.end())
             for (auto& [k, m] : o->second.tasks)
-                if (m.job == job && m.attempt == attempt && m.phase == "waiting") members.emplace_back(wid, k);
+                if (m.job == job && m.attempt == attempt && m.phase == "waiting")
+                    members.emplace_back(wid, k);
     if (static_cast<int>(members.size()) == body["shards"].get<int>()) {
         for (auto& [wid, k] : members) go(wid, k);
         return;
@@ -744,8 +804,10 @@
             if (m2 == w2->second.tasks.end() || m2->second.step != step) return;
             end_task(w2->second, key, bad ? "error" : "done");
         };
-        if (it->second.hung) it->second.while_hung.push_back(finish);
-        else finish();
+        if (it->second.hung)
+            it->second.while_hung.push_back(finish);
+        else
+            finish();
     });
 }
 
@@ -766,7 +828,8 @@
                 finished_[t.job].insert(i);
                 checker.task_done(t.job, i);
             }
-    } else if (jobs_[t.job].body.value("shape", "") == "group") gang_lost(t.job, t.attempt);
+    } else if (jobs_[t.job].body.value("shape", "") == "group")
+        gang_lost(t.job, t.attempt);
 }
 
 void World::gang_lost(const std::string& job, std::uint32_t attempt) {
@@ -786,7 +849,8 @@
 void World::copy_of_report(const std::string& machine, int to, double delay) {
     at(delay, [this, to, body = report_body(workers_.at(machine))] {
         if (up(to))
-            hosts_[static_cast<std::size_t>(to)].node->on_request({"POST", "/checkin", body}, [](const HttpResponse&) {});
+            hosts_[static_cast<std::size_t>(to)].node->on_request({"POST", "/checkin", body},
+                                                                  [](const HttpResponse&) {});
     });
 }
 
@@ -804,7 +868,8 @@
                 u.first += b.value("vcpus", 0.0);
                 u.second += b.value("gpus", 0.0);
             }
-        const bool there = w.alive && !w.hung && !w.faulty && !w.notice_at && w.node != SIZE_MAX && w.term > 0;
+        const bool there =
+            w.alive && !w.hung && !w.faulty && !w.notice_at && w.node != SIZE_MAX && w.term > 0;
         if (there) free[id] = cpu;
     }
     for (const auto& [id, text] : jobs_) {
@@ -831,7 +896,9 @@
             if (w.type == "small" && b.value("gpus", 0.0) > 0) continue;
             if (!b.value("loaners", false) && w.spot) continue;
             if (b.contains("field") && b["field"].is_string() && b["field"] != w.zone) continue;
-            if (b.contains("breeds") && b["breeds"].is_array() && std::find(b["breeds"].begin(), b["breeds"].end(), w.type) == b["breeds"].end()) continue;
+            if (b.contains("breeds") && b["breeds"].is_array() &&
+                std::find(b["breeds"].begin(), b["breeds"].end(), w.type) == b["breeds"].end())
+                continue;
             const int n = static_cast<int>((cpu + 1e-6) / std::max(0.1, b.value("vcpus", 1.0)));
             fits[w.zone] += n;
             all += n;
@@ -842,8 +909,9 @@
             for (const auto& [z, n] : fits)
                 if (zones_used.empty() || zones_used.contains(z)) most = std::max(most, n);
         }
-        const bool waits = text.accepted && wants > 0 && under && most >= wants && !cancelling_.contains(id) &&
-                           told_[id] != "done" && told_[id] != "withdrawn" && !bad_jobs.contains(id);
+        const bool waits = text.accepted && wants > 0 && under && most >= wants &&
+                           !cancelling_.contains(id) && told_[id] != "done" && told_[id] != "withdrawn" &&
+                           !bad_jobs.contains(id);
         if (!waits) {
             could_start_since_.erase(id);
             continue;
@@ -876,13 +944,15 @@
 // ---- users ----
 
 Json World::job(const std::string& id, int tasks, double cpu, double run_s, const std::string& team) {
-    return {{"uid", id}, {"ilk", "c"}, {"crew", team}, {"shape", "batch"}, {"rank", "standard"}, {"shards", tasks},
-            {"vcpus", cpu}, {"gpus", 0.0}, {"ram_gb", 1.0}, {"cask", "img"}, {"image_gb", 0.5}, {"one_zone", false},
-            {"apart", false}, {"loaners", true}, {"guess_s", run_s}, {"mark_every_s", 0.0}, {"stow_s", 0.0}, {"real_s", run_s}};
+    return {{"uid", id},          {"ilk", "c"},      {"crew", team},     {"shape", "batch"},
+            {"rank", "standard"}, {"shards", tasks}, {"vcpus", cpu},     {"gpus", 0.0},
+            {"ram_gb", 1.0},      {"cask", "img"},   {"image_gb", 0.5},  {"one_zone", false},
+            {"apart", false},     {"loaners", true}, {"guess_s", run_s}, {"mark_every_s", 0.0},
+            {"stow_s", 0.0},      {"real_s", run_s}};
 }
 
-void World::user_request(const std::string& id, const std::string& method, const std::string& path, const std::string& body,
-                         int via, bool submission, int tries) {
+void World::user_request(const std::string& id, const std::string& method, const std::string& path,
+                         const std::string& body, int via, bool submission, int tries) {
     if (tries <= 0) {
         if (!submission) cancelling_.erase(id);  // its user gives up cancelling, and goes on asking
         return;
@@ -901,34 +971,42 @@
     });
     if (!up(target)) return;
     const auto host = static_cast<std::size_t>(target);
-    send("users", name(target), [this, id, method, path, body, target, host, answered, again, submission, repeat, sent = now_] {
-        if (!up(target)) return;
-        auto take = [this, id, method, path, body, target, answered, again, submission, repeat, sent](HttpResponse r) {
-                send(name(target), "users", [this, id, method, path, body, answered, again, submission, repeat, r, sent] {
-                    if (std::exchange(*answered, true)) return;
-                    slowest_answer = std::max(slowest_answer, now_ - sent);
-                    if (r.status < 300) repeat_later({method, path, body}, [this, id, method, path, body, submission] {
-                        const auto any = static_cast<std::size_t>(rng() % hosts_.size());
-                        if (!hosts_[any].node || frozen(any)) return;
-                        hosts_[any].node->on_request({method, path, body}, [this, id, submission](const HttpResponse& late) {
-                            Json j = Json::parse(late.body, nullptr, false);
-                            checker.told(now_, id, submission, late.status, j.is_object() ? j.value("phase", "") : "");
-                        });
-                    });
-                    Json j = Json::parse(r.body, nullptr, false);
-                    std::string phase = j.is_object() ? j.value("phase", "") : "";
-                    checker.told(now_, id, submission, r.status, phase);
-                    if (r.status == 200 || r.status == 201) {
-                        if (submission) jobs_[id].accepted = true;
-                        told_[id] = phase;
-                        if (repeat && !submission) cancelling_.erase(id);
-                    } else if (r.status >= 429 && repeat) {
-                        again();
-                    }
-                });
-        };
-        deliver(host, hosts_[host].life, 0, [this, host, method, path, body, take] { hosts_[host].node->on_request({method, path, body}, take); });
-    });
+    send("users", name(target),
+         [this, id, method, path, body, target, host, answered, again, submission, repeat, sent = now_] {
+             if (!up(target)) return;
+             auto take = [this, id, method, path, body, target, answered, again, submission, repeat,
+                          sent](HttpResponse r) {
+                 send(name(target), "users",
+                      [this, id, method, path, body, answered, again, submission, repeat, r, sent] {
+                          if (std::exchange(*answered, true)) return;
+                          slowest_answer = std::max(slowest_answer, now_ - sent);
+                          if (r.status < 300)
+                              repeat_later({method, path, body}, [this, id, method, path, body, submission] {
+                                  const auto any = static_cast<std::size_t>(rng() % hosts_.size());
+                                  if (!hosts_[any].node || frozen(any)) return;
+                                  hosts_[any].node->on_request(
+                                      {method, path, body}, [this, id, submission](const HttpResponse& late) {
+                                          Json j = Json::parse(late.body, nullptr, false);
+                                          checker.told(now_, id, submission, late.status,
+                                                       j.is_object() ? j.value("phase", "") : "");
+                                      });
+                              });
+                          Json j = Json::parse(r.body, nullptr, false);
+                          std::string phase = j.is_object() ? j.value("phase", "") : "";
+                          checker.told(now_, id, submission, r.status, phase);
+                          if (r.status == 200 || r.status == 201) {
+                              if (submission) jobs_[id].accepted = true;
+                              told_[id] = phase;
+                              if (repeat && !submission) cancelling_.erase(id);
+                          } else if (r.status >= 429 && repeat) {
+                              again();
+                          }
+                      });
+             };
+             deliver(host, hosts_[host].life, 0, [this, host, method, path, body, take] {
+                 hosts_[host].node->on_request({method, path, body}, take);
+             });
+         });
 }
 
 void World::submit(const Json& body, int via) {
@@ -965,9 +1043,11 @@
     at(2, [this, id, via] { user_request(id, "POST", "/api/jobs/" + id + "/cancel", "", via, false, 60); });
 }
 
-HttpResponse World::ask(int i, const std::string& method, const std::string& path, const std::string& body, double most) {
+HttpResponse World::ask(int i, const std::string& method, const std::string& path, const std::string& body,
+                        double most) {
     auto got = std::make_shared<std::optional<HttpResponse>>();
-    hosts_[static_cast<std::size_t>(i)].node->on_request({method, path, body}, [got](HttpResponse r) { *got = std::move(r); });
+    hosts_[static_cast<std::size_t>(i)].node->on_request({method, path, body},
+                                                         [got](HttpResponse r) { *got = std::move(r); });
     run_until([got] { return got->has_value(); }, most);
     return got->value_or(HttpResponse{});
 }
--- a/tests/world.h
+++ b/tests/world.h
@@ -1,5 +1,5 @@
-// A whole deployment in memory: network, state service, cloud, workers and users around real Nodes, on a simulated
-// clock and one seeded RNG.
+// A whole deployment in memory: network, state service, cloud, workers and users around real Nodes, on a
+// simulated clock and one seeded RNG.
 #pragma once
 #include <deque>
 #include <functional>
@@ -75,7 +75,7 @@
     }
     std::size_t list_page = 7;
     std::size_t longest_news = 0;  // answers of a watch that are longer don't get through; 0: all do
-    bool record = false;  // keep what was carried out, to be sent once more
+    bool record = false;           // keep what was carried out, to be sent once more
     std::vector<HttpRequest> carried_out;
     std::string oversize;  // a write over the limits, if one ever came
 
@@ -113,8 +113,9 @@
         std::uint64_t seed = 1;
         int nodes = 3;
         std::vector<std::string> zones{"a"};
-        std::string teams = "[[params.teams]]\nname = \"red\"\ncpus = 0\ncpus_max = 0\ngpus = 0\ngpus_max = 0\n"
-                            "[[params.teams]]\nname = \"blue\"\ncpus = 0\ncpus_max = 12\ngpus = 0\ngpus_max = 0\n";
+        std::string teams =
+            "[[params.teams]]\nname = \"red\"\ncpus = 0\ncpus_max = 0\ngpus = 0\ngpus_max = 0\n"
+            "[[params.teams]]\nname = \"blue\"\ncpus = 0\ncpus_max = 12\ngpus = 0\ngpus_max = 0\n";
         double value_kb = 4;
         int capacity = 40;
         double boot_s = 5;
@@ -124,8 +125,8 @@
         int max_sockets = 900;
         int txn_ops = 8;
         std::size_t list_page = 7;  // items of a list's answer; few, so that paging is always exercised
-        double worker_step = 0.1;  // how often a worker looks at its clock
-        bool budgets = false;      // the state service and the cloud refuse what is over their rates
+        double worker_step = 0.1;   // how often a worker looks at its clock
+        bool budgets = false;       // the state service and the cloud refuse what is over their rates
     };
     World() : World(Options()) {}
     explicit World(Options o);
@@ -149,22 +150,25 @@
     void link(const std::string& a, const std::string& b, Link l);
     Link link_of(const std::string& a, const std::string& b) const;
     void send(const std::string& a, const std::string& b, std::function<void()> fn);
-    double loss = 0;  // share of messages lost on any link
+    double loss = 0;             // share of messages lost on any link
     std::set<std::string> deaf;  // machines that send, and that nothing reaches
     std::set<std::string> mute;  // machines that reach no controller, while direct commands reach them
     double late_writes = 0;      // share of commits that get no answer and are carried out 2 to 12 s later
     double store_delay = 0;      // the state service answers up to so much later
     // Late copies: a report arrives once more at the same controller, so much later; its answer goes nowhere.
-    double copies = 0;  // share of reports
+    double copies = 0;   // share of reports
     double copy_s = 40;  // up to
-    // Requests that were carried out come once more: commits, grants, rentals, returns, orders, submissions, cancellations.
-    double repeats = 0;  // share
+    // Requests that were carried out come once more: commits, grants, rentals, returns, orders, submissions,
+    // cancellations.
+    double repeats = 0;    // share
     double repeat_s = 90;  // up to so much later
     void copy_of_report(const std::string& machine, int to, double delay);
-    // Once troubles are over: no job waits 90 s while machines that fit have room and its team is under its limit.
+    // Once troubles are over: no job waits 90 s while machines that fit have room and its team is under its
+    // limit.
     void watch_waiting();
 
-    Json job(const std::string& id, int tasks, double cpu = 1, double run_s = 5, const std::string& team = "red");
+    Json job(const std::string& id, int tasks, double cpu = 1, double run_s = 5,
+             const std::string& team = "red");
     void submit(const Json& body, int via = -1);  // retried as users do until answered for good
     void poll(const std::string& id, int via = -1);
     void cancel(const std::string& id, int via = -1);
@@ -194,7 +198,8 @@
     std::mt19937_64 rng;
     double chance() { return std::uniform_real_distribution<>(0, 1)(rng); }
     double lease_s = 10, report_s = 1.5, gang_wait_s = 30, gang_peer_s = 4;
-    // The most that a controller had open at a time to workers, and the longest the users waited for an answer.
+    // The most that a controller had open at a time to workers, and the longest the users waited for an
+    // answer.
     std::size_t most_calls = 0;
     double slowest_answer = 0;
     const std::vector<std::string>& zones() const { return options_.zones; }
@@ -226,8 +231,8 @@
     void gang_lost(const std::string& job, std::uint32_t attempt);
     std::string report_body(Worker& w);
     void changed(Worker& w);
-    void user_request(const std::string& id, const std::string& method, const std::string& path, const std::string& body,
-                      int via, bool submission, int tries);
+    void user_request(const std::string& id, const std::string& method, const std::string& path,
+                      const std::string& body, int via, bool submission, int tries);
     Options options_;
     double now_ = 0;
     std::uint64_t order_ = 0, next_machine_ = 0;
