Times of each step of a start, by class, in the status and the log

Where starts are late had been guessed at: each start now tells how long it waited for room, for its commit, for the machine's next check-in, for the image and for its gang. No decision changes.

--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -143,6 +143,10 @@
     Json parts = Json::array();
     for (std::uint32_t k = 0; k < model_.parts().size(); ++k)
         parts.push_back({{"owner", model_.parts()[k].owner.v}, {"term", model_.parts()[k].term.v}});
+    Json starts = Json::object();
+    for (const auto& [job_class, steps] : fleet_.start_times().by_class())
+        for (std::size_t i = 0; i < steps.size(); ++i)
+            starts[job_class][step_name(static_cast<StartStep>(i))] = steps[i];
     return Json{{"node", settings_.node.v},
                 {"synced", cluster_.synced()},
                 {"state_service", store_.reachable()},
@@ -178,6 +182,7 @@
                   {"decided_here", relay_.counts().decided},
                   {"decide_ms", relay_.counts().decide_ms},
                   {"unplaced", relay_.counts().unplaced}}},
+                {"start_times", {{"bounds_s", StartTimes::bounds_s}, {"by_class", std::move(starts)}}},
                 {"parts", std::move(parts)}}
         .dump();
 }
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -224,6 +224,7 @@
             Told& told = m.told[{t.task, t.attempt}];
             told.session = r.age.session;
             told.seen = true;
+            note_phase(id, m, t, *job);
         }
         if (t.phase == wire::TaskPhase::ended) {
             if (!placed_here) {
@@ -299,6 +300,9 @@
             Told& t = m.told[{ref, s.attempt}];
             t.session = r.age.session;
             ++t.answers;
+            if (auto start = m.starts.find({ref, s.attempt});
+                start != m.starts.end() && start->second.ordered == Mono{})
+                start->second.ordered = now;
             orders.push_back({wire::Verb::run, ref, s.attempt, 0});
             continue;
         }
@@ -310,14 +314,45 @@
                             : never_took ? "not_taken"
                                          : "not_started");
     }
-    if (m.told.size() > 2 * model_.on_machine(id).size() + 32)
-        std::erase_if(m.told, [&](const auto& t) {
-            TaskState s = model_.task(t.first.first);
-            return s.at != TaskState::At::placed || s.machine != id || s.attempt != t.first.second;
-        });
+    const auto is_over = [&](const auto& entry) {
+        const TaskState s = model_.task(entry.first.first);
+        return s.at != TaskState::At::placed || s.machine != id || s.attempt != entry.first.second;
+    };
+    const std::size_t many = 2 * model_.on_machine(id).size() + 32;
+    if (m.told.size() > many) std::erase_if(m.told, is_over);
+    if (m.starts.size() > many) std::erase_if(m.starts, is_over);
     return orders;
 }
 
+void Fleet::note_committed(const TaskRef& ref, const MachineId& id, const StartProgress& assigned) {
+    const auto machine = machines_.find(id);
+    if (machine == machines_.end()) return;
+    StartProgress& start = machine->second.starts[{ref, model_.task(ref).attempt}];
+    start = assigned;
+    start.committed = env_.now();
+}
+
+// Follows a start of this owner's until the task runs.
+void Fleet::note_phase(const MachineId& id, Machine& m, const wire::ReportedTask& task, const Job& job) {
+    const auto entry = m.starts.find({task.task, task.attempt});
+    if (entry == m.starts.end() || task.phase == wire::TaskPhase::fetching) return;
+    const Mono now = env_.now();
+    StartProgress& start = entry->second;
+    if (start.image_ready == Mono{}) start.image_ready = now;
+    if (task.phase == wire::TaskPhase::waiting) return;
+    if (start.ordered != Mono{}) {
+        const auto ms = [&](StartStep step) { return step_time(start, step, now).count() / 1000; };
+        log::info(
+            "event=task_running task={} attempt={} machine={} class={} queue_ms={} commit_ms={} "
+            "delivery_ms={} image_ms={} "
+            "gang_ms={}",
+            task.task.str(), task.attempt, id.v, job.spec.job_class, ms(StartStep::queue),
+            ms(StartStep::commit), ms(StartStep::delivery), ms(StartStep::image), ms(StartStep::gang));
+        start_times_.add(job.spec.job_class, start, now);
+    }
+    m.starts.erase(entry);
+}
+
 // Holds the image, or fetches it for another task by now: fetches at the same time share the machine's rate,
 // so that a second image beside the first delays both.
 bool Fleet::has_image(const MachineId& id, const Machine& m, const std::string& image) const {
@@ -530,10 +565,16 @@
         }
         it->second.kept_since = {};
         start(ref, a.machine, job->spec.need);
+        StartProgress progress;
+        progress.queued = millis(env_.wall().v - job->submitted.v);
+        progress.assigned = env_.now();
         ledger_.place(ref, a.machine, it->second.zone,
-                      [this, ref, round = v.round, m = a.machine](bool placed) {
+                      [this, ref, round = v.round, m = a.machine, progress](bool placed) {
                           started(ref);
-                          if (placed) return answer_soon(m);
+                          if (placed) {
+                              note_committed(ref, m, progress);
+                              return answer_soon(m);
+                          }
                           send_(round.relay, wire::Unplaced{round, ref.job, {ref.task}});
                       });
     }
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -13,6 +13,7 @@
 #include "base/env.h"
 #include "cluster/cluster.h"
 #include "cluster/horizon.h"
+#include "fleet/start_times.h"
 #include "jobs/ledger.h"
 #include "sched/logic.h"
 #include "store/model.h"
@@ -43,6 +44,7 @@
         std::uint64_t check_ins = 0, stale = 0, not_renewed = 0, asks = 0, offers = 0, rooms = 0;
     };
     const Counts& counts() const { return counts_; }
+    const StartTimes& start_times() const { return start_times_; }
     // What is placed on a machine changed; a job did.
     void on_placed(const MachineId& id);
     void on_jobs() {
@@ -78,6 +80,8 @@
         std::set<std::pair<TaskRef, Attempt>>
             ended;  // and those it lists as ended: they take no room any more
         std::map<std::pair<TaskRef, Attempt>, Told> told;
+        std::map<std::pair<TaskRef, Attempt>, StartProgress>
+            starts;  // committed by this owner and not seen running yet
         // Reports may arrive while nothing gets back to the machine: that an answer was written proves
         // nothing. It hears us when it shows a term that only we can have told it, or reports to us twice on
         // end in one session (unanswered, it would have gone to another controller).
@@ -186,7 +190,10 @@
         Mono gained{}, heard{};
     };
     std::map<std::uint32_t, Hearing> hearing_;  // of the parts that are ours
+    void note_committed(const TaskRef& ref, const MachineId& id, const StartProgress& assigned);
+    void note_phase(const MachineId& id, Machine& m, const wire::ReportedTask& task, const Job& job);
     Counts counts_;
+    StartTimes start_times_;
     // Returned machines, newest last: a late copy of a report must not bring one back.
     std::set<MachineId> gone_;
     std::deque<MachineId> gone_order_;
--- /dev/null
+++ b/src/fleet/start_times.cpp
@@ -0,0 +1,49 @@
+#include "fleet/start_times.h"
+
+#include <algorithm>
+
+namespace zd {
+
+const char* step_name(StartStep step) {
+    switch (step) {
+        case StartStep::queue:
+            return "queue";
+        case StartStep::commit:
+            return "commit";
+        case StartStep::delivery:
+            return "delivery";
+        case StartStep::image:
+            return "image";
+        case StartStep::gang:
+            return "gang";
+    }
+    return "";
+}
+
+Duration step_time(const StartProgress& progress, StartStep step, Mono running) {
+    switch (step) {
+        case StartStep::queue:
+            return progress.queued;
+        case StartStep::commit:
+            return progress.committed - progress.assigned;
+        case StartStep::delivery:
+            return progress.ordered - progress.committed;
+        case StartStep::image:
+            return progress.image_ready - progress.ordered;
+        case StartStep::gang:
+            return running - progress.image_ready;
+    }
+    return {};
+}
+
+void StartTimes::add(const std::string& job_class, const StartProgress& progress, Mono running) {
+    if (by_class_.size() >= most_classes && !by_class_.contains(job_class)) return;
+    Steps& steps = by_class_[job_class];
+    for (std::size_t i = 0; i < start_steps; ++i) {
+        const double took = to_s(step_time(progress, static_cast<StartStep>(i), running));
+        const auto bucket = std::lower_bound(bounds_s.begin(), bounds_s.end(), took) - bounds_s.begin();
+        ++steps[i][static_cast<std::size_t>(bucket)];
+    }
+}
+
+}  // namespace zd
