A team's limit is kept by a lock that its starts name and don't write

Cause: each start's commit wrote its team's record, only to fence; where writes are short a commit has two, so that half of all start writes were spent on it. Now the record is written when the lock changes hands, and starts name its version. A commit without an answer costs a new token. Lanes go by rank and age instead of by the jobs' names, and a page that is written for its starts takes along the ends that wait for it.

The test of the model's count by the record's version is replaced: the count no longer comes from the record. The tests of the lock assert the same (no start beyond the limit, no room leaked) with late, lost and repeated commits, holders that end or are cut off, and a state read anew.

--- a/src/jobs/ledger.cpp
+++ b/src/jobs/ledger.cpp
@@ -13,6 +13,8 @@
 constexpr Duration gather_ends = std::chrono::milliseconds(250);  // a machine's room is free before that
 constexpr Duration gather_ends_scarce =
     std::chrono::seconds(4);  // where writes are short: fewer for the same ends
+constexpr Duration retry_pause = std::chrono::milliseconds(150);  // after a refusal
+constexpr Duration lock_poll = std::chrono::milliseconds(100);    // until a team's lock is held
 constexpr Duration gather_sent = std::chrono::milliseconds(5);
 constexpr Duration home_limit = std::chrono::seconds(3);  // then the owner commits it itself
 constexpr std::size_t most_bytes = 48 * 1024;             // of a transaction, well below the service's 64 KiB
@@ -29,7 +31,12 @@
       model_(model),
       cluster_(cluster),
       send_(std::move(send)),
-      near_(std::move(near)) {}
+      near_(std::move(near)),
+      locks_(env, store, model, cluster, settings.node) {
+    locks_.on_held = [this](const TeamName& team) {
+        if (const LaneKey key{team, {}}; lanes_.contains(key)) schedule(key, Duration(0));
+    };
+}
 
 void Ledger::start() { take_back(); }
 
@@ -66,15 +73,13 @@
     return demand_;
 }
 
-// Ends don't touch the team's record and have lanes of their own: flushed with each start of their team, they
-// were written one by one.
-std::string Ledger::lane_of(const JobId& job, std::uint32_t page, TaskEvent event) const {
-    const Job* j = model_.job(job);
-    if (j != nullptr && event == TaskEvent::place) {
-        const Team* t = model_.team_settings(j->spec.team);
-        if (t != nullptr && t->limited()) return "team " + t->name.v;
-    }
-    return keys::page(job, page);
+// Ends need no room of the team and have lanes of their own: they don't wait for its lock.
+Ledger::LaneKey Ledger::lane_of(const PageKey& page, TaskEvent event) const {
+    const Job* j = model_.job(page.job);
+    if (j == nullptr || event != TaskEvent::place) return {{}, page};
+    const Team* t = model_.team_settings(j->spec.team);
+    if (t == nullptr || !t->limited()) return {{}, page};
+    return {t->name, {}};
 }
 
 void Ledger::enqueue(const TaskRef& t, Op op) {
@@ -134,7 +139,7 @@
 void Ledger::queue(const JobId& job, Op op) {
     ++ops_;
     const std::uint32_t page = model_.page_of(op.task);
-    std::string lane = lane_of(job, page, op.event);
+    const LaneKey lane = lane_of({job, page}, op.event);
     const Job* j = model_.job(job);
     auto& ops = lanes_[lane].ops[{job, page}];
     Duration wait = op.event == TaskEvent::place ? gather_places : gather_releases;
@@ -222,8 +227,8 @@
     }
 }
 
-void Ledger::schedule(const std::string& name, Duration d) {
-    Lane& lane = lanes_[name];
+void Ledger::schedule(const LaneKey& key, Duration d) {
+    Lane& lane = lanes_[key];
     const Mono at = env_.now() + d;
     if (!lane.due || at < *lane.due) lane.due = at;
     if (!lane.in_flight) arm(*lane.due);
@@ -244,19 +249,19 @@
 void Ledger::pump() {
     for (;;) {
         const Mono now = env_.now();
-        const std::string* best = nullptr;
+        const LaneKey* best = nullptr;
         std::optional<Mono> due;
-        for (const auto& [name, lane] : lanes_)
+        for (const auto& [key, lane] : lanes_)
             if (!lane.in_flight && lane.due && (!due || *lane.due < *due)) {
                 due = lane.due;
-                best = &name;
+                best = &key;
             }
         if (best == nullptr) return;
         if (*due > now) return arm(*due);
         if (!store_.reachable()) return arm(now + millis(300));
         const std::size_t writes = store_.writes_free();
         if (writes == 0) return arm(now + std::clamp(store_.writes_free_in(2), millis(5), millis(200)));
-        flush(std::string(*best), writes);
+        flush(LaneKey(*best), writes);
     }
 }
 
@@ -307,121 +312,146 @@
     return op.term;
 }
 
-// `chosen`: zones of starts that are in this draft already.
-bool Ledger::zone_allowed(const Job& j, const std::string& zone,
-                          const std::map<JobId, std::string>& chosen) const {
+bool Ledger::zone_allowed(const Job& j, const std::string& zone, const Draft& d) const {
     if (!j.spec.one_zone) return true;
-    if (auto c = chosen.find(j.spec.id); c != chosen.end()) return c->second == zone;
+    if (auto chosen = d.zones.find(j.spec.id); chosen != d.zones.end()) return chosen->second == zone;
     const auto bound = model_.bound_zone(j);
     return !bound || *bound == zone;
 }
 
-Ledger::Draft Ledger::draft(Lane& lane, std::size_t most_writes) {
-    Draft d;
-    std::map<std::uint32_t, Term> parts;
-    std::optional<TeamName> team;
-    bool starts = false;
-    TeamUse use;
-    std::size_t bytes = 0;
+// By rank, then the longest waiting: in the order of the jobs' names a backlog passed over the same jobs each
+// time.
+std::map<Ledger::PageKey, std::vector<Ledger::Op>>::iterator Ledger::next_page(Lane& lane) const {
+    const auto order = [&](const auto& entry) {
+        const Job* j = model_.job(entry.first.job);
+        return std::make_pair(j != nullptr ? j->spec.rank : wire::Rank::critical, entry.second.front().since);
+    };
+    return std::min_element(lane.ops.begin(), lane.ops.end(),
+                            [&](const auto& a, const auto& b) { return order(a) < order(b); });
+}
+
+// Room for one more page, and for its job's end or its new zone.
+bool Ledger::has_room(const Draft& d, const Job* j, std::size_t most_writes) const {
     const std::size_t most_conditions = 4 * std::size_t{settings_.txn_ops};
-    std::map<PageKey, std::vector<Op>> later;
-    std::map<JobId, std::string> chosen;
-    std::set<JobId> moved;  // jobs whose record names their new zone
-    while (!lane.ops.empty()) {
-        auto it = lane.ops.begin();
-        const PageKey key = it->first;
-        const Job* j = model_.job(key.job);
-        const Team* settings = j != nullptr ? model_.team_settings(j->spec.team) : nullptr;
-        const bool limited = settings != nullptr && settings->limited();
-        const std::size_t other_pages = j != nullptr && j->spec.one_zone ? Model::most_free_pages : 0;
-        // Room for this page, its job's end and the team's record.
-        if (!d.taken.empty() &&
-            (d.txn.writes.size() + 4 > settings_.txn_ops || d.txn.writes.size() + 2 > most_writes ||
-             d.txn.conditions.size() + parts.size() + other_pages + 6 > most_conditions ||
-             bytes > most_bytes))
-            break;
-        std::vector<Op> ops = std::move(it->second);
-        lane.ops.erase(it);
-        std::vector<Op> used;
-        std::vector<TaskState> tasks;
-        if (j != nullptr) tasks = model_.page_tasks(*j, key.page);
-        if (limited && !team) {
-            team = j->spec.team;
-            use = model_.team(*team);
-        }
-        TeamUse before = use;
-        for (auto& op : ops) {
-            const std::uint32_t part = model_.part_of(op.machine);
-            const auto term = valid_term(op, part);
-            auto named = parts.find(part);
-            // Many owners at once: those whose terms don't fit among the conditions come with the next
-            // commit.
-            if (term && named == parts.end() &&
-                d.txn.conditions.size() + parts.size() + other_pages + 4 > most_conditions) {
-                later[key].push_back(std::move(op));
-                continue;
-            }
-            if (j != nullptr && term && (named == parts.end() || named->second == *term) &&
-                (op.event != TaskEvent::place || zone_allowed(*j, op.zone, chosen)) &&
-                apply(*j, op, tasks, key.page, use)) {
-                parts.emplace(part, *term);
-                if (op.event == TaskEvent::place && j->spec.one_zone) chosen[key.job] = op.zone;
-                if (op.event != TaskEvent::place)
-                    d.urgent = true;
-                else
-                    starts = true;
-                used.push_back(std::move(op));
-                continue;
-            }
-            --ops_;
-            // A commit whose answer was lost may have placed it after all.
-            TaskState now = model_.task({key.job, op.task});
-            answer(key.job, op, now.at == TaskState::At::placed && now.machine == op.machine);
-        }
-        if (used.empty()) {
-            use = before;
+    const std::size_t other_pages = j != nullptr && j->spec.one_zone ? Model::most_free_pages : 0;
+    const std::size_t writes = d.txn.writes.size();
+    return writes + 3 <= settings_.txn_ops && writes < most_writes && d.bytes <= most_bytes &&
+           d.txn.conditions.size() + d.parts.size() + other_pages + 6 <= most_conditions;
+}
+
+// A page that is written for its starts takes along the ends that wait for it.
+std::vector<Ledger::Op> Ledger::with_waiting_ends(const PageKey& page, std::vector<Op> ops) {
+    const auto lane = lanes_.find(LaneKey{{}, page});
+    if (lane == lanes_.end() || lane->second.in_flight) return ops;
+    const auto waiting = lane->second.ops.find(page);
+    if (waiting == lane->second.ops.end()) return ops;
+    std::vector<Op> all = std::move(waiting->second);
+    all.insert(all.end(), std::make_move_iterator(ops.begin()), std::make_move_iterator(ops.end()));
+    lanes_.erase(lane);
+    return all;
+}
+
+// Adds what may be done of `ops` to the draft and answers the others; those for which the conditions have no
+// room are left in `later`.
+void Ledger::add_page(Draft& d, const PageKey& page, std::vector<Op> ops, std::vector<Op>& later) {
+    const Job* j = model_.job(page.job);
+    const std::size_t most_conditions = 4 * std::size_t{settings_.txn_ops};
+    const std::size_t other_pages = j != nullptr && j->spec.one_zone ? Model::most_free_pages : 0;
+    const TeamUse before = d.use;
+    std::vector<TaskState> tasks;
+    if (j != nullptr) tasks = model_.page_tasks(*j, page.page);
+    std::vector<Op> used;
+    for (auto& op : ops) {
+        const std::uint32_t part = model_.part_of(op.machine);
+        const auto term = valid_term(op, part);
+        const auto named = d.parts.find(part);
+        // Many owners at once: those whose terms don't fit among the conditions come with the next commit.
+        if (term && named == d.parts.end() &&
+            d.txn.conditions.size() + d.parts.size() + other_pages + 4 > most_conditions) {
+            later.push_back(std::move(op));
             continue;
         }
-        d.txn.conditions.push_back({keys::job(key.job), j->version});
-        const std::string page_key = keys::page(key.job, key.page);
-        d.txn.conditions.push_back({page_key, model_.version(page_key)});
-        if (auto zone = chosen.find(key.job);
-            zone != chosen.end() && zone->second != j->pinned_zone && moved.insert(key.job).second) {
-            // No task of it is on a machine, as these versions of all its pages prove; from this commit on it
-            // is bound here.
-            for (std::uint32_t n = 0; n < model_.pages_of(j->spec); ++n)
-                if (n != key.page)
-                    d.txn.conditions.push_back(
-                        {keys::page(key.job, n), model_.version(keys::page(key.job, n))});
-            Job there = *j;
-            there.pinned_zone = zone->second;
-            d.txn.writes.push_back({keys::job(key.job), Model::encode_job(there), std::nullopt});
-        }
-        const bool over = model_.pages_of(j->spec) == 1 &&
-                          std::all_of(tasks.begin(), tasks.end(),
-                                      [](const auto& t) { return t.at == TaskState::At::done; });
-        if (over && !j->cancelled) {
-            // The last task's end and the job's in one commit.
-            if (model_.version(page_key) != Revision{})
-                d.txn.writes.push_back({page_key, std::nullopt, std::nullopt});
-            d.txn.writes.push_back({keys::job(key.job), std::nullopt, std::nullopt});
-            d.txn.writes.push_back(
-                {keys::final_state(key.job), Json{{"s", "done"}, {"n", j->spec.tasks}}, std::nullopt});
-        } else {
-            Json v = model_.encode_page(tasks, key.page);
-            bytes += v.dump().size();
-            d.txn.writes.push_back({page_key, std::move(v), std::nullopt});
+        const bool is_start = op.event == TaskEvent::place;
+        if (j != nullptr && term && (named == d.parts.end() || named->second == *term) &&
+            (!is_start || zone_allowed(*j, op.zone, d)) && apply(*j, op, tasks, page.page, d.use)) {
+            d.parts.emplace(part, *term);
+            if (is_start && j->spec.one_zone) d.zones[page.job] = op.zone;
+            if (!is_start) d.urgent = true;
+            used.push_back(std::move(op));
+            continue;
         }
-        d.taken.emplace_back(key, std::move(used));
+        --ops_;
+        // A commit whose answer was lost may have placed it after all.
+        const TaskState now = model_.task({page.job, op.task});
+        answer(page.job, op, now.at == TaskState::At::placed && now.machine == op.machine);
     }
-    for (auto& [key, ops] : later) lane.ops[key] = std::move(ops);
-    if (d.taken.empty()) return d;
-    for (const auto& [k, term] : parts) d.txn.conditions.push_back({keys::part(k), term});
-    // Ends leave the record alone (Model::team): written with each of them, it took half of all writes.
-    if (team && starts) {
-        d.txn.conditions.push_back({keys::team(*team), use.version});
-        d.txn.writes.push_back({keys::team(*team), Json{{"c", use.cpu}, {"g", use.gpu}}, std::nullopt});
+    if (used.empty()) {
+        d.use = before;
+        return;
     }
+    add_writes(d, page, *j, tasks);
+    d.taken.emplace_back(page, std::move(used));
+}
+
+void Ledger::add_writes(Draft& d, const PageKey& page, const Job& j, const std::vector<TaskState>& tasks) {
+    const std::string job_key = keys::job(page.job), page_key = keys::page(page.job, page.page);
+    d.txn.conditions.push_back({job_key, j.version});
+    d.txn.conditions.push_back({page_key, model_.version(page_key)});
+    const auto zone = d.zones.find(page.job);
+    if (zone != d.zones.end() && zone->second != j.pinned_zone && d.moved.insert(page.job).second) {
+        // No task of it is on a machine, as these versions of all its pages prove; from this commit on it is
+        // bound to the zone.
+        for (std::uint32_t n = 0; n < model_.pages_of(j.spec); ++n)
+            if (n != page.page)
+                d.txn.conditions.push_back(
+                    {keys::page(page.job, n), model_.version(keys::page(page.job, n))});
+        Job there = j;
+        there.pinned_zone = zone->second;
+        d.txn.writes.push_back({job_key, Model::encode_job(there), std::nullopt});
+    }
+    const bool over =
+        model_.pages_of(j.spec) == 1 &&
+        std::all_of(tasks.begin(), tasks.end(), [](const auto& t) { return t.at == TaskState::At::done; });
+    if (!over || j.cancelled) {
+        Json v = model_.encode_page(tasks, page.page);
+        d.bytes += v.dump().size();
+        d.txn.writes.push_back({page_key, std::move(v), std::nullopt});
+        return;
+    }
+    // The last task's end and the job's in one commit.
+    if (model_.version(page_key) != Revision{})
+        d.txn.writes.push_back({page_key, std::nullopt, std::nullopt});
+    d.txn.writes.push_back({job_key, std::nullopt, std::nullopt});
+    d.txn.writes.push_back(
+        {keys::final_state(page.job), Json{{"s", "done"}, {"n", j.spec.tasks}}, std::nullopt});
+}
+
+Ledger::Draft Ledger::draft(const LaneKey& key, std::size_t most_writes) {
+    Draft d;
+    Lane& lane = lanes_[key];
+    if (!key.team.empty()) {
+        d.use = model_.team(key.team);
+        d.txn.conditions.push_back({keys::team(key.team), *locks_.token(key.team)});
+    }
+    std::map<PageKey, std::vector<Op>> later;
+    while (!lane.ops.empty()) {
+        const auto next = next_page(lane);
+        const PageKey page = next->first;
+        const bool busy = pages_in_flight_.contains(page);
+        if (!busy && !d.taken.empty() && !has_room(d, model_.job(page.job), most_writes)) break;
+        std::vector<Op> ops = std::move(next->second);
+        lane.ops.erase(next);
+        if (busy) {
+            later[page] = std::move(ops);
+            continue;
+        }
+        if (!key.team.empty()) ops = with_waiting_ends(page, std::move(ops));
+        std::vector<Op> rest;
+        add_page(d, page, std::move(ops), rest);
+        if (!rest.empty()) later[page] = std::move(rest);
+    }
+    for (auto& [page, ops] : later) lane.ops[page] = std::move(ops);
+    for (const auto& [k, term] : d.parts) d.txn.conditions.push_back({keys::part(k), term});
     return d;
 }
 
@@ -437,85 +467,119 @@
         if (w.key.rfind("z/j/", 0) == 0) model_.apply({w.key, w.value, r});
     for (const auto& w : txn.writes)
         if (w.key.rfind("z/", 0) == 0) model_.apply({w.key, w.value, r});
-    for (const auto& w : txn.writes)
-        if (w.key.rfind(team_prefix, 0) == 0)
-            model_.own_start(TeamName(w.key.substr(std::string(team_prefix).size())), r);
 }
 
-void Ledger::flush(const std::string& name, std::size_t most_writes) {
-    Lane& lane = lanes_[name];
-    lane.due.reset();
-    auto d = std::make_shared<Draft>(draft(lane, most_writes));
+// Starts of a limited team go only under its lock. Without it they wait, for as long as a start may.
+bool Ledger::may_start(const LaneKey& key) {
+    if (key.team.empty() || locks_.token(key.team)) return true;
+    Lane& lane = lanes_[key];
+    const Mono now = env_.now();
+    for (auto& [page, ops] : lane.ops)
+        std::erase_if(ops, [&, job = page.job](Op& op) {
+            if (op.event != TaskEvent::place || now - op.since <= place_limit) return false;
+            --ops_;
+            answer(job, op, false);
+            return true;
+        });
+    std::erase_if(lane.ops, [](const auto& entry) { return entry.second.empty(); });
+    if (lane.ops.empty()) {
+        lanes_.erase(key);
+        return false;
+    }
+    locks_.take(key.team);
+    schedule(key, lock_poll);
+    return false;
+}
+
+void Ledger::flush(const LaneKey& key, std::size_t most_writes) {
+    lanes_[key].due.reset();
+    if (!may_start(key)) return;
+    auto d = std::make_shared<Draft>(draft(key, most_writes));
+    Lane& lane = lanes_[key];
     if (d->taken.empty()) {
         if (lane.ops.empty())
-            lanes_.erase(name);
+            lanes_.erase(key);
         else
-            schedule(name, gather_places);
+            schedule(key, gather_places);
         return;
     }
     lane.in_flight = true;
+    for (const auto& [page, ops] : d->taken) pages_in_flight_.insert(page);
     ++counts_.commits;
-    store_.commit(d->txn, d->urgent ? Urgency::report : Urgency::decision, [this, name, d](CommitResult r) {
-        Lane& l = lanes_[name];
-        l.in_flight = false;
-        if (r.outcome == Outcome::ok) {
-            adopt(d->txn, r.revision);
-            counts_.pages += d->taken.size();
-            for (auto& [key, ops] : d->taken)
-                for (auto& op : ops) {
-                    --ops_;
-                    ++(op.event == TaskEvent::place ? counts_.starts : counts_.ends);
-                    const char* what = op.event == TaskEvent::place    ? "start_committed"
-                                       : op.event == TaskEvent::finish ? "task_done"
-                                                                       : "task_released";
-                    log::info("event={} task={} machine={} term={} reason={} revision={}", what,
-                              TaskRef{key.job, op.task}.str(), op.machine.v, op.term.v, op.why, r.revision.v);
-                    answer(key.job, op, true);
-                }
-            send_results(&d->txn, r.revision);
-            if (!l.ops.empty())
-                schedule(name, l.due ? std::max(Duration(0), *l.due - env_.now()) : gather_places);
-            else
-                lanes_.erase(name);
-            return;
+    store_.commit(d->txn, d->urgent ? Urgency::report : Urgency::decision,
+                  [this, key, d](const CommitResult& r) {
+                      lanes_[key].in_flight = false;
+                      for (const auto& [page, ops] : d->taken) pages_in_flight_.erase(page);
+                      if (r.outcome == Outcome::ok)
+                          on_committed(key, *d, r);
+                      else
+                          on_not_committed(key, *d, r);
+                  });
+}
+
+void Ledger::on_committed(const LaneKey& key, Draft& d, const CommitResult& r) {
+    adopt(d.txn, r.revision);
+    if (!key.team.empty()) locks_.committed(key.team, r.revision);
+    counts_.pages += d.taken.size();
+    for (auto& [page, ops] : d.taken)
+        for (auto& op : ops) {
+            --ops_;
+            ++(op.event == TaskEvent::place ? counts_.starts : counts_.ends);
+            const char* what = op.event == TaskEvent::place    ? "start_committed"
+                               : op.event == TaskEvent::finish ? "task_done"
+                                                               : "task_released";
+            log::info("event={} task={} machine={} term={} reason={} revision={}", what,
+                      TaskRef{page.job, op.task}.str(), op.machine.v, op.term.v, op.why, r.revision.v);
+            answer(page.job, op, true);
         }
-        if (r.outcome == Outcome::conflict) ++counts_.conflicts;
-        // Not known to be done: the operations go back and are drafted anew. The new commit names the same
-        // versions as the old or newer ones, so that at most one of the two can ever be carried out.
-        std::set<std::string> failed(r.failed.begin(), r.failed.end());
-        for (auto& [key, ops] : d->taken) {
-            auto& back = l.ops[key];
-            for (auto& op : ops) {
-                // A peer's term that is over: its successor will see for itself.
-                if (!op.from.empty() && failed.contains(keys::part(model_.part_of(op.machine)))) {
-                    --ops_;
-                    answer(key.job, op, false);
-                } else {
-                    back.push_back(std::move(op));
-                }
+    send_results(&d.txn, r.revision);
+    Lane& lane = lanes_[key];
+    if (lane.ops.empty())
+        lanes_.erase(key);
+    else
+        schedule(key, lane.due ? std::max(Duration(0), *lane.due - env_.now()) : gather_places);
+}
+
+// Not known to be done: the operations go back and are drafted anew. The new commit names the same versions
+// as the old or newer ones, so that at most one of the two can ever be carried out; and a team's starts go on
+// under a new token, so that none of the old one's is carried out after the team's tasks were counted.
+void Ledger::on_not_committed(const LaneKey& key, Draft& d, const CommitResult& r) {
+    if (r.outcome == Outcome::conflict) ++counts_.conflicts;
+    if (r.outcome == Outcome::unknown && !key.team.empty()) locks_.invalidate(key.team);
+    const std::set<std::string> failed(r.failed.begin(), r.failed.end());
+    for (auto& [page, ops] : d.taken)
+        for (auto& op : ops) {
+            // A peer's term that is over: its successor will see for itself.
+            if (!op.from.empty() && failed.contains(keys::part(model_.part_of(op.machine)))) {
+                --ops_;
+                answer(page.job, op, false);
+                continue;
             }
-            if (back.empty()) l.ops.erase(key);
+            // Ends that came along with starts go back to where they need no lock.
+            const LaneKey back = op.event == TaskEvent::place ? key : lane_of(page, op.event);
+            lanes_[back].ops[page].push_back(std::move(op));
+            if (back != key) schedule(back, retry_pause);
         }
-        if (r.outcome == Outcome::refused) return schedule(name, millis(150));
-        if (r.outcome == Outcome::invalid)
-            log::error("event=commit_refused lane={} writes={}", name, d->txn.writes.size());
-        refresh(name, r.outcome == Outcome::conflict && !r.failed.empty() ? r.failed : keys_of(d->txn));
-    });
+    if (r.outcome == Outcome::refused) return schedule(key, retry_pause);
+    if (r.outcome == Outcome::invalid)
+        log::error("event=commit_refused team={} job={} writes={}", key.team.v, key.page.job.v,
+                   d.txn.writes.size());
+    refresh(key, r.outcome == Outcome::conflict && !r.failed.empty() ? r.failed : keys_of(d.txn));
 }
 
-void Ledger::refresh(const std::string& name, std::vector<std::string> wanted) {
-    lanes_[name].in_flight = true;
+void Ledger::refresh(const LaneKey& lane, std::vector<std::string> wanted) {
+    lanes_[lane].in_flight = true;
     auto left = std::make_shared<std::size_t>(wanted.size());
     for (const auto& key : wanted)
-        store_.get(key, Urgency::report, [this, name, key, left](GetResult g) {
+        store_.get(key, Urgency::report, [this, lane, key, left](GetResult g) {
             // Parts are read by the watch alone: a term counts only once all before it is known.
             const bool part = key.rfind("z/p/", 0) == 0;
             if (!part && g.outcome == Outcome::ok) model_.apply({key, g.value, g.version});
             if (!part && g.outcome == Outcome::not_found && model_.version(key) != Revision{})
                 model_.apply({key, std::nullopt, g.version});
             if (--*left > 0) return;
-            lanes_[name].in_flight = false;
-            schedule(name, millis(30));
+            lanes_[lane].in_flight = false;
+            schedule(lane, millis(30));
         });
 }
 
--- a/src/jobs/ledger.h
+++ b/src/jobs/ledger.h
@@ -11,6 +11,7 @@
 
 #include "base/env.h"
 #include "cluster/cluster.h"
+#include "jobs/team_locks.h"
 #include "store/model.h"
 #include "store/store.h"
 #include "wire/peer.h"
@@ -72,8 +73,12 @@
         std::uint32_t page = 0;
         auto operator<=>(const PageKey&) const = default;
     };
-    // Commits of one lane go one after another: the starts of a limited team, or else what happens on one
-    // page.
+    // What is committed one after another: the starts of a limited team, or else what happens on one page.
+    struct LaneKey {
+        TeamName team;
+        PageKey page;  // where `team` is empty
+        auto operator<=>(const LaneKey&) const = default;
+    };
     struct Lane {
         std::map<PageKey, std::vector<Op>> ops;
         bool in_flight = false;
@@ -86,9 +91,15 @@
         NodeName home;
         Mono asked;
     };
+    // A transaction in the making, and the operations that it carries out.
     struct Draft {
         Txn txn;
         std::vector<std::pair<PageKey, std::vector<Op>>> taken;
+        std::map<std::uint32_t, Term> parts;  // whose owners' terms the operations were judged under
+        std::map<JobId, std::string> zones;   // of one-zone jobs with starts in this draft
+        std::set<JobId> moved;                // jobs whose record names their new zone
+        TeamUse use;                          // of the lane's team, this draft's starts and ends included
+        std::size_t bytes = 0;
         bool urgent = false;
     };
     void enqueue(const TaskRef& t, Op op);
@@ -97,19 +108,25 @@
     void take_back();
     void answer(const JobId& job, Op& op, bool done);
     void send_results(const Txn* txn, Revision r);
-    std::string lane_of(const JobId& job, std::uint32_t page, TaskEvent event) const;
-    void schedule(const std::string& lane, Duration d);
+    LaneKey lane_of(const PageKey& page, TaskEvent event) const;
+    void schedule(const LaneKey& lane, Duration d);
     void arm(Mono at);
     void pump();
-    void flush(const std::string& lane, std::size_t most_writes);
-    Draft draft(Lane& lane, std::size_t most_writes);
+    void flush(const LaneKey& key, std::size_t most_writes);
+    bool may_start(const LaneKey& key);
+    void on_committed(const LaneKey& key, Draft& d, const CommitResult& r);
+    void on_not_committed(const LaneKey& key, Draft& d, const CommitResult& r);
+    Draft draft(const LaneKey& key, std::size_t most_writes);
+    std::map<PageKey, std::vector<Op>>::iterator next_page(Lane& lane) const;
+    bool has_room(const Draft& d, const Job* j, std::size_t most_writes) const;
+    std::vector<Op> with_waiting_ends(const PageKey& page, std::vector<Op> ops);
+    void add_page(Draft& d, const PageKey& page, std::vector<Op> ops, std::vector<Op>& later);
+    void add_writes(Draft& d, const PageKey& page, const Job& j, const std::vector<TaskState>& tasks);
     std::optional<Term> valid_term(const Op& op, std::uint32_t part) const;
-    bool zone_allowed(const Job& j, const std::string& zone,
-                      const std::map<JobId, std::string>& chosen) const;
+    bool zone_allowed(const Job& j, const std::string& zone, const Draft& d) const;
     bool apply(const Job& j, Op& op, std::vector<TaskState>& tasks, std::uint32_t page, TeamUse& use);
-    void refresh(const std::string& lane, std::vector<std::string> keys);
+    void refresh(const LaneKey& lane, std::vector<std::string> keys);
     static std::vector<std::string> keys_of(const Txn& txn);
-    static constexpr const char* team_prefix = "z/q/";
     void adopt(const Txn& txn, Revision r);
     Env& env_;
     const Settings& settings_;
@@ -118,7 +135,9 @@
     Cluster& cluster_;
     SendPeer send_;
     std::function<bool(const NodeName&)> near_;
-    std::map<std::string, Lane> lanes_;
+    TeamLocks locks_;
+    std::map<LaneKey, Lane> lanes_;
+    std::set<PageKey> pages_in_flight_;
     Env::TimerId timer_ = 0;
     Mono timer_at_{};
     std::map<std::uint64_t, Remote> remote_;  // by ticket
