A job handed to another relay begins anew there

Cause, found by TeamLock.TwoThatCannotReachEachOther: a relay kept what it knew of a job's rounds after handing the job over. When the job came back it was taken for one that had been stuck there all the time and was handed back at once, so that between relays that can't reach each other it never got a round. Ruled out: the team's lock, which had nobody waiting.

--- a/src/jobs/relay.cpp
+++ b/src/jobs/relay.cpp
@@ -124,7 +124,13 @@
     std::erase_if(rounds_, [&](const auto& r) { return now - r.second.since > round_memory; });
     std::erase_if(no_room_, [&](const auto& r) { return r.second.until <= now; });
     std::erase_if(kind_next_, [&](const auto& k) { return k.second <= now; });
-    std::erase_if(waiting_, [&](const auto& w) { return model_.job(w.first) == nullptr; });
+    // What is known of a job's rounds is this node's while it relays the job. Kept beyond that, a job that
+    // came back from another relay was taken for one that had been stuck here all the time, and was handed
+    // back at once, without end.
+    std::erase_if(waiting_, [&](const auto& w) {
+        const Job* j = model_.job(w.first);
+        return j == nullptr || cluster_.relay_of(*j) != settings_.node;
+    });
 }
 
 void Relay::plan() {
