Ends are gathered by how much of the write budget is spent; a busy home is waited for

Cause: owners took ends back from a live home after 3 s, while it gathered them for up to 4 s, so that ends were written twice and the lock of the team changed hands; and each page was written for 2.3 ends. A home that is heard and is the same process is waited for now, and ends are gathered up to 12 s where the write budget is spent, 2 s for a team near its limit; the last end of a page is told at once, as before.

--- a/src/jobs/ledger.cpp
+++ b/src/jobs/ledger.cpp
@@ -11,16 +11,22 @@
 constexpr Duration gather_places = std::chrono::milliseconds(20);
 constexpr Duration gather_releases = std::chrono::milliseconds(40);
 constexpr Duration gather_ends = std::chrono::milliseconds(250);  // a machine's room is free before that
-constexpr Duration gather_ends_scarce =
-    std::chrono::seconds(4);  // where writes are short: fewer for the same ends
+// Where writes are short, ends are gathered longer, up to this: fewer writes for the same ends.
+constexpr Duration gather_ends_longest = std::chrono::seconds(12);
+constexpr Duration gather_ends_at_limit = std::chrono::seconds(2);  // while the team may want their room
+constexpr double low_write_load = 0.5, high_write_load = 0.9;
+constexpr double near_limit_share = 0.9;
 constexpr Duration retry_pause = std::chrono::milliseconds(150);  // after a refusal
 constexpr Duration lock_poll = std::chrono::milliseconds(100);    // until a team's lock is held
 constexpr Duration gather_sent = std::chrono::milliseconds(5);
-constexpr Duration home_limit = std::chrono::seconds(3);  // then the owner commits it itself
-constexpr std::size_t most_bytes = 48 * 1024;             // of a transaction, well below the service's 64 KiB
-constexpr std::size_t most_sent = 256;                    // operations in one message
-constexpr std::size_t most_ops = 20'000;                  // waiting at a home; more are refused
-constexpr std::size_t most_records = 60'000;              // bytes of records in a message
+// A home that lives and is heard answers within these; after that its message was lost, and the owner commits
+// itself.
+constexpr Duration start_answer_limit = place_limit + std::chrono::seconds(1);
+constexpr Duration end_answer_limit = gather_ends_longest + std::chrono::seconds(6);
+constexpr std::size_t most_bytes = 48 * 1024;  // of a transaction, well below the service's 64 KiB
+constexpr std::size_t most_sent = 256;         // operations in one message
+constexpr std::size_t most_ops = 20'000;       // waiting at a home; more are refused
+constexpr std::size_t most_records = 60'000;   // bytes of records in a message
 }  // namespace
 
 Ledger::Ledger(Env& env, const Settings& settings, StoreClient& store, Model& model, Cluster& cluster,
@@ -97,7 +103,7 @@
     if (home == settings_.node || !near_(home)) return queue(t.job, std::move(op));
     // What a late copy of this message says is judged again at its home, under the same term and attempt.
     const std::uint64_t ticket = ++next_ticket_;
-    remote_.emplace(ticket, Remote{t.job, std::move(op), home, env_.now()});
+    remote_.emplace(ticket, Remote{t.job, std::move(op), home, session_of(home), env_.now()});
     ++counts_.sent_home;
     outbox_[{home, t.job}].push_back(ticket);
     if (!std::exchange(outbox_armed_, true)) env_.after(gather_sent, [this] { send_outbox(); });
@@ -119,14 +125,26 @@
     }
 }
 
-// A home that is gone, or cut off from us or from the state service, is not waited for: the owner commits
-// itself. Should the home do so too, one of the two commits finds the other's versions and fails.
+Revision Ledger::session_of(const NodeName& node) const {
+    const auto session = model_.nodes().find(node);
+    return session != model_.nodes().end() ? session->second : Revision{};
+}
+
+bool Ledger::given_up(const Remote& r) const {
+    if (!near_(r.home) || session_of(r.home) != r.home_session) return true;
+    const Duration limit = r.op.event == TaskEvent::place ? start_answer_limit : end_answer_limit;
+    return env_.now() - r.asked > limit;
+}
+
+// A home that is gone or began anew, or is cut off from us or from the state service, is not waited for: the
+// owner commits itself. Should the home do so too, one of the two commits finds the other's versions and
+// fails. One that is only busy is waited for: ends that were taken back while it gathered them were written
+// twice.
 void Ledger::take_back() {
     env_.after(millis(250), [this] { take_back(); });
-    const Mono now = env_.now();
     for (auto it = remote_.begin(); it != remote_.end();) {
         Remote& r = it->second;
-        if (now - r.asked < home_limit && near_(r.home)) {
+        if (!given_up(r)) {
             ++it;
             continue;
         }
@@ -136,20 +154,36 @@
     }
 }
 
+bool Ledger::near_team_limit(const Job& j) const {
+    const Team* team = model_.team_settings(j.spec.team);
+    if (team == nullptr) return false;
+    const TeamUse use = model_.team(j.spec.team);
+    const auto near = [](std::int64_t used, std::int64_t most) {
+        return most > 0 && static_cast<double>(used) > near_limit_share * static_cast<double>(most);
+    };
+    return near(use.cpu, team->cpu_max) || near(use.gpu, team->gpu_max);
+}
+
+// How long an operation may wait for others of its page. The last end of a page is told at once.
+Duration Ledger::gather_time(const Op& op, const PageKey& page, std::size_t waiting) const {
+    if (op.event == TaskEvent::place) return gather_places;
+    const Job* j = model_.job(page.job);
+    if (op.event == TaskEvent::release || j == nullptr) return gather_releases;
+    const auto known = j->pages.find(page.page);
+    const std::size_t done = known != j->pages.end() ? known->second.done : 0;
+    if (done + waiting + 1 >= model_.tasks_in(j->spec, page.page)) return gather_releases;
+    const double scarcity =
+        std::clamp((store_.write_load() - low_write_load) / (high_write_load - low_write_load), 0.0, 1.0);
+    const Duration longest = near_team_limit(*j) ? gather_ends_at_limit : gather_ends_longest;
+    return gather_ends + seconds(to_s(longest - gather_ends) * scarcity);
+}
+
 void Ledger::queue(const JobId& job, Op op) {
     ++ops_;
     const std::uint32_t page = model_.page_of(op.task);
     const LaneKey lane = lane_of({job, page}, op.event);
-    const Job* j = model_.job(job);
     auto& ops = lanes_[lane].ops[{job, page}];
-    Duration wait = op.event == TaskEvent::place ? gather_places : gather_releases;
-    if (op.event == TaskEvent::finish && j != nullptr) {
-        // The last of a job's tasks are told at once.
-        auto p = j->pages.find(page);
-        const std::size_t done = p != j->pages.end() ? p->second.done : 0;
-        if (done + ops.size() + 1 < model_.tasks_in(j->spec, page))
-            wait = store_.writes_free() > 0 ? gather_ends : gather_ends_scarce;
-    }
+    const Duration wait = gather_time(op, {job, page}, ops.size());
     ops.push_back(std::move(op));
     schedule(lane, wait);
 }
--- a/src/jobs/ledger.h
+++ b/src/jobs/ledger.h
@@ -89,6 +89,7 @@
         JobId job;
         Op op;
         NodeName home;
+        Revision home_session;  // of the process that was asked
         Mono asked;
     };
     // A transaction in the making, and the operations that it carries out.
@@ -106,6 +107,10 @@
     void queue(const JobId& job, Op op);
     void send_outbox();
     void take_back();
+    bool given_up(const Remote& r) const;
+    Revision session_of(const NodeName& node) const;
+    Duration gather_time(const Op& op, const PageKey& page, std::size_t waiting) const;
+    bool near_team_limit(const Job& j) const;
     void answer(const JobId& job, Op& op, bool done);
     void send_results(const Txn* txn, Revision r);
     LaneKey lane_of(const PageKey& page, TaskEvent event) const;
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -1,6 +1,7 @@
 #include "store/store.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "base/log.h"
 
@@ -11,6 +12,7 @@
 constexpr Duration watch_hold =
     std::chrono::seconds(2);  // an answer says that nothing was missed: see Horizon
 constexpr std::size_t most_queued = 400;
+constexpr double write_load_window_s = 8;
 constexpr double user_read_share = 0.25;  // of the requests
 constexpr double writes_kept =
     1.0;  // not spent on starts and ends, so that a submission need not wait for them
@@ -83,6 +85,17 @@
     return std::max(writes_.until(static_cast<double>(n) + writes_kept), requests_.until(1));
 }
 
+void StoreClient::count_writes(double n) {
+    const Mono now = env_.now();
+    recent_writes_ = recent_writes_ * std::exp(-to_s(now - counted_at_) / write_load_window_s) + n;
+    counted_at_ = now;
+}
+
+double StoreClient::write_load() {
+    count_writes(0);
+    return recent_writes_ / (writes_.rate() * write_load_window_s);
+}
+
 Duration StoreClient::lost_for() { return reachable() ? Duration(0) : env_.now() - lost_at_; }
 
 void StoreClient::submit(Urgency u, Request r) {
@@ -125,7 +138,10 @@
                         // their share
             }
             (reserved ? user_reads_ : requests_).take(1);
-            if (r.writes > 0) writes_.take(r.writes);
+            if (r.writes > 0) {
+                writes_.take(r.writes);
+                count_writes(r.writes);
+            }
             const auto urgency = static_cast<std::size_t>(&q - queues_.data());
             ++counts_.requests[urgency];
             counts_.writes[urgency] += static_cast<std::uint64_t>(r.writes);
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -71,6 +71,7 @@
     void take(double n) { tokens_ -= n; }
     void drain() { tokens_ = std::min(tokens_, 0.0); }
     double tokens() const { return tokens_; }
+    double rate() const { return rate_; }
     Duration until(double n) const;
 
   private:
@@ -100,6 +101,8 @@
     // more.
     std::size_t writes_free();
     Duration writes_free_in(std::size_t n);
+    // How much of this node's write budget was spent lately, from 0 to about 1.
+    double write_load();
     bool fits(const Txn& txn) const;
     struct Counts {
         std::array<std::uint64_t, urgencies> requests{}, writes{};
@@ -129,6 +132,9 @@
     Env::TimerId timer_ = 0;
     int fails_ = 0;
     Mono lost_at_{};
+    void count_writes(double n);
+    double recent_writes_ = 0;  // decaying
+    Mono counted_at_{};
 };
 
 }  // namespace zd
