Machines with a start to deliver are asked to check in at once

Cause, by the times of the steps: starts waited 5 s on the mean for the machine's next report (ten seconds apart). The token now has a count below the term, and a direct command that raises it and orders nothing makes the worker report; run goes in the answer as before, so that no proof changes: a token is no order, and a late one is at most equal to what the worker has. Only where a report is expected more than a second from now, and once in half of a lease.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -15,6 +15,9 @@
 constexpr double elder_apart_s = 3;                             // and is older by so much goes first,
 constexpr Duration kept_for = std::chrono::milliseconds(1500);  // for so long on each machine
 constexpr std::size_t few_machines = 5;                         // whose silence together is no chance
+constexpr std::size_t most_prompts = 64;                        // under way at once
+constexpr double prompt_every_leases = 0.51;                    // a worker heeds one in half of a lease
+constexpr Duration worth_prompting = std::chrono::seconds(1);   // a check-in expected sooner is waited for
 constexpr int most_orders = 2;  // answers with the same run before it is given up
 // Two clocks may each be off by 0.05%; the rest covers the timer's own step.
 Duration surely_lapsed(double lease_s) { return seconds(lease_s * 1.002) + millis(100); }
@@ -34,7 +37,7 @@
 
 void Fleet::check_in(const wire::Report& r, const Reply& reply) {
     auto mine = cluster_.synced() ? cluster_.term_of(r.machine) : std::nullopt;
-    if (!mine || r.term > *mine) {
+    if (!mine || r.token.term > *mine) {
         // Not entitled: a 200 here would hold the worker while its lease runs out.
         std::optional<NodeName> owner = cluster_.synced() ? cluster_.owner_of(r.machine) : std::nullopt;
         return reply({421, wire::redirect_body(owner), -1});
@@ -62,7 +65,7 @@
     m.last_heard = env_.now();
     hearing_[model_.part_of(r.machine)].heard = env_.now();
     log::debug("event=check_in machine={} session={} seq={} shown={} term={} hears={} answered={} at={:.3f}",
-               r.machine.v, r.age.session, r.age.seq, r.term.v, mine->v, m.hears, m.answered_seq,
+               r.machine.v, r.age.session, r.age.seq, r.token.term.v, mine->v, m.hears, m.answered_seq,
                to_s(env_.now().time_since_epoch()));
     // An older check-in still held: its worker has moved on, and no order in its answer would be executed.
     if (auto old = held_.find(r.machine); old != held_.end()) {
@@ -100,7 +103,7 @@
     env_.cancel(h.timer);
     auto mine = cluster_.term_of(id);
     auto m = machines_.find(id);
-    if (!mine || m == machines_.end() || h.report.term > *mine) return h.reply({421, "{}", -1});
+    if (!mine || m == machines_.end() || h.report.token.term > *mine) return h.reply({421, "{}", -1});
     std::vector<wire::Order> orders;
     // A newer message, by direct command, may have come meanwhile: then this report's news is old.
     if (h.report.age == m->second.age)
@@ -120,7 +123,7 @@
         log::debug("event=lease_not_renewed machine={}", r.machine.v);
         return reply({503, "{}", 1});
     }
-    reply({200, wire::orders_body(mine, orders), -1});
+    reply({200, wire::orders_body(token_for(r.machine, mine), orders), -1});
 }
 
 std::vector<wire::Order> Fleet::halts_of_cancelled(const wire::Report& r) const {
@@ -157,12 +160,13 @@
         const auto mine = cluster_.term_of(id);
         if (!mine || m == machines_.end() || m->second.address.empty()) continue;
         ++halting_;
-        env_.http(m->second.address,
-                  {"POST", "/commands", wire::orders_body(*mine, orders, m->second.age.session)}, seconds(2),
-                  [this](const HttpResponse&) {
-                      --halting_;
-                      send_halts();
-                  });
+        env_.http(
+            m->second.address,
+            {"POST", "/commands", wire::orders_body(token_for(id, *mine), orders, m->second.age.session)},
+            seconds(2), [this](const HttpResponse&) {
+                --halting_;
+                send_halts();
+            });
     }
 }
 
@@ -171,13 +175,16 @@
     if (m.term_of_proof != mine) {
         m.term_of_proof = mine;
         m.term_shown = m.reported = m.hears = false;
+        m.token_count = 0;
+        m.prompted = {};
     }
+    if (r.token.term == mine) m.token_count = std::max(m.token_count, r.token.count);
     // A new session begins when no answer arrived for a lease, however many we wrote.
     if (r.age.session > m.age.session) {
         m.hears = false;
         m.answered_seq = 0;
     }
-    if (r.term == mine && !m.term_shown) m.hears = true;
+    if (r.token.term == mine && !m.term_shown) m.hears = true;
     if (checkin && m.answered_seq > 0 && r.age.seq == m.answered_seq + 1) m.hears = true;
     if (checkin && m.hears) m.last_good = now;
     m.age = r.age;
@@ -185,7 +192,7 @@
     m.zone = r.zone;
     m.spot = r.spot;
     m.address = r.address;
-    if (r.term == mine) m.term_shown = true;
+    if (r.token.term == mine) m.term_shown = true;
     if (checkin) m.reported = true;
     if (r.notice_s && !m.notice_s)
         log::info("event=spot_notice machine={} seconds={:.1f} tasks={}", r.machine.v, *r.notice_s,
@@ -239,7 +246,7 @@
             }
             // A failed end is believed only of a report that shows our term. A copy of an older one may be
             // late, and since then the same attempt may have been ordered again in a new session.
-            if (r.term != mine) continue;
+            if (r.token.term != mine) continue;
             if (t.cause == wire::Cause::error) note_error(id, m, t.task.job);
             if (t.cause == wire::Cause::no_room || t.cause == wire::Cause::unknown)
                 m.blocked_until = std::max(m.blocked_until, now + seconds(3));
@@ -308,7 +315,7 @@
         }
         // Absent from a check-in that shows our term: no order of an earlier owner counts any more, and those
         // in answers of ours to earlier check-ins were executed or dropped before this one was sent.
-        if (r.term == mine)
+        if (r.token.term == mine)
             ledger_.release(ref, s.attempt, id,
                             was_here     ? "vanished"
                             : never_took ? "not_taken"
@@ -573,7 +580,7 @@
                           started(ref);
                           if (placed) {
                               note_committed(ref, m, progress);
-                              return answer_soon(m);
+                              return deliver_soon(m);
                           }
                           send_(round.relay, wire::Unplaced{round, ref.job, {ref.task}});
                       });
@@ -581,9 +588,40 @@
     if (!again.empty()) send_(v.round.relay, wire::Unplaced{v.round, v.job, std::move(again)});
 }
 
-void Fleet::answer_soon(const MachineId& id) {
+// A start was committed: the machine is told by the answer that waits for it, or asked to check in for it.
+void Fleet::deliver_soon(const MachineId& id) {
     // One commit often brings several starts: they share the answer.
-    if (held_.contains(id)) env_.after(millis(5), [this, id] { answer(id); });
+    if (held_.contains(id)) {
+        env_.after(millis(5), [this, id] { answer(id); });
+        return;
+    }
+    if (auto m = machines_.find(id); m != machines_.end()) prompt_check_in(id, m->second);
+}
+
+// A direct command that raises the token and orders nothing makes the worker check in at once, and `run` goes
+// in the answer as always. Lost, repeated or late it does no harm: a token is no order. Workers heed it once
+// in half of a lease.
+void Fleet::prompt_check_in(const MachineId& id, Machine& m) {
+    const Mono now = env_.now();
+    const auto mine = cluster_.term_of(id);
+    const Duration expected = m.last_heard + seconds(settings_.report_s) - now;
+    const bool too_soon =
+        m.prompted != Mono{} && now - m.prompted < seconds(settings_.lease_s * prompt_every_leases);
+    if (!mine || !m.hears || m.term_of_proof != *mine || m.address.empty() || expected < worth_prompting ||
+        too_soon || prompting_ >= most_prompts || m.token_count == wire::Token::most_count)
+        return;
+    m.prompted = now;
+    ++m.token_count;
+    ++prompting_;
+    ++counts_.prompts;
+    env_.http(m.address, {"POST", "/commands", wire::orders_body(token_for(id, *mine), {}, m.age.session)},
+              seconds(2), [this](const HttpResponse&) { --prompting_; });
+}
+
+wire::Token Fleet::token_for(const MachineId& id, Term mine) const {
+    const auto m = machines_.find(id);
+    const bool counted = m != machines_.end() && m->second.term_of_proof == mine;
+    return {mine, counted ? m->second.token_count : 0};
 }
 
 bool Fleet::empty(const MachineId& id, const Machine& m) const {
@@ -687,8 +725,8 @@
     const Term term = *cluster_.term_of(id);
     a.asking = true;
     ++asking_;
-    env_.http(a.where, {"POST", "/commands", wire::orders_body(term, {}, a.session)}, seconds(2),
-              [this, id, term](HttpResponse h) {
+    env_.http(a.where, {"POST", "/commands", wire::orders_body(token_for(id, term), {}, a.session)},
+              seconds(2), [this, id, term](HttpResponse h) {
                   --asking_;
                   auto at = addresses_.find(id);
                   if (at == addresses_.end()) return;
@@ -707,7 +745,7 @@
                           env_.now() + std::min(seconds(4), millis(500) * (1 << std::min(to.tries, 3)));
                       ++to.tries;
                   }
-                  if (!r || r->machine != id || r->term != term || cluster_.term_of(id) != term ||
+                  if (!r || r->machine != id || r->token.term != term || cluster_.term_of(id) != term ||
                       gone_.contains(id)) {
                       if (wrong_session) announce_due();
                       return;
@@ -770,9 +808,10 @@
               mine->v);
     // Straight to the worker, for speed; every answer to its check-ins repeats it until it is heeded.
     wire::Order halt{wire::Verb::halt, ref, t.attempt, job->spec.save_s + 3};
-    env_.http(it->second.address,
-              {"POST", "/commands", wire::orders_body(*mine, {halt}, it->second.age.session)}, seconds(2),
-              [](const HttpResponse&) {});
+    env_.http(
+        it->second.address,
+        {"POST", "/commands", wire::orders_body(token_for(t.machine, *mine), {halt}, it->second.age.session)},
+        seconds(2), [](const HttpResponse&) {});
 }
 
 // Cut off from the workers alone, an owner that is in touch with the state service kept its part while every
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -41,7 +41,7 @@
     void on_part_gained(std::uint32_t part);
     std::vector<wire::MachineBeat> beats();
     struct Counts {
-        std::uint64_t check_ins = 0, stale = 0, not_renewed = 0, asks = 0, offers = 0, rooms = 0;
+        std::uint64_t check_ins = 0, stale = 0, not_renewed = 0, asks = 0, offers = 0, rooms = 0, prompts = 0;
     };
     const Counts& counts() const { return counts_; }
     const StartTimes& start_times() const { return start_times_; }
@@ -86,6 +86,8 @@
         // nothing. It hears us when it shows a term that only we can have told it, or reports to us twice on
         // end in one session (unanswered, it would have gone to another controller).
         bool hears = false;
+        std::uint32_t token_count = 0;   // of its newest token under our present term
+        Mono prompted{};                 // last asked to check in at once
         Mono last_good{};                // newest check-in of a machine that hears us
         std::uint64_t answered_seq = 0;  // newest check-in of this session that was answered
         // Judged lapsed under that term: what still comes of it is a late copy. Under a later term it may be
@@ -135,7 +137,9 @@
     std::vector<wire::Order> halts_of_cancelled(const wire::Report& r) const;
     void send_halts();
     void answer(const MachineId& id);
-    void answer_soon(const MachineId& id);
+    void deliver_soon(const MachineId& id);
+    void prompt_check_in(const MachineId& id, Machine& m);
+    wire::Token token_for(const MachineId& id, Term mine) const;
     bool worth_waiting(const MachineId& id, const Machine& m, const wire::Report& r) const;
     void take_report(Machine& m, const wire::Report& r, Term mine, bool checkin);
     std::vector<wire::Order> orders_for(const MachineId& id, Machine& m, const wire::Report& r, Term mine);
@@ -172,6 +176,7 @@
     std::map<MachineId, std::vector<wire::Order>>
         halts_;  // of cancelled jobs, to be sent straight to their machines
     std::size_t halting_ = 0;
+    std::size_t prompting_ = 0;
     std::map<std::pair<TaskRef, Attempt>, Mono> stops_;  // asked to stop
     std::map<JobId, std::set<MachineId>> job_errors_;
     std::map<MachineId, sched::Reservation> reserved_;  // by the supplier's latest word
--- a/src/wire/json_api.cpp
+++ b/src/wire/json_api.cpp
@@ -223,7 +223,7 @@
         r.age = {count(j, "tenure"), count(j, "tick")};
         if (const Json* b = find(j, "baton")) {
             if (!b->is_number_unsigned()) throw Bad{"baton"};
-            r.term = Term{b->get<std::uint64_t>()};
+            r.token = Token::of(b->get<std::uint64_t>());
         }
         if (const Json* n = find(j, "warning_s")) r.notice_s = amount(*n, "warning_s");
         for (const auto& e : need(j, "shards")) {
@@ -248,7 +248,7 @@
     });
 }
 
-std::string orders_body(Term term, const std::vector<Order>& orders, std::optional<std::uint64_t> session) {
+std::string orders_body(Token token, const std::vector<Order>& orders, std::optional<std::uint64_t> session) {
     Json list = Json::array();
     for (const auto& o : orders) {
         Json e = {
@@ -256,7 +256,7 @@
         if (o.verb == Verb::halt) e["respite_s"] = o.grace_s;
         list.push_back(std::move(e));
     }
-    Json j = {{"baton", term.v}, {"orders", std::move(list)}};
+    Json j = {{"baton", token.value()}, {"orders", std::move(list)}};
     if (session) j["tenure"] = *session;
     return j.dump();
 }
--- a/src/wire/json_api.h
+++ b/src/wire/json_api.h
@@ -53,6 +53,19 @@
     Cause cause = Cause::none;
     bool saved = false;
 };
+// The fencing token of the protocol (`baton`): first the owner's term, then a count that the owner raises for
+// one machine to have it check in at once.
+struct Token {
+    Term term;
+    std::uint32_t count = 0;
+    static constexpr int count_bits = 16;
+    static constexpr std::uint32_t most_count = (1U << count_bits) - 1;
+    std::uint64_t value() const { return term.v << count_bits | count; }
+    static Token of(std::uint64_t value) {
+        return {Term{value >> count_bits}, static_cast<std::uint32_t>(value & most_count)};
+    }
+    auto operator<=>(const Token&) const = default;
+};
 // Orders the messages of one worker: the larger is the newer.
 struct ReportAge {
     std::uint64_t session = 0, seq = 0;
@@ -63,7 +76,7 @@
     std::string address, type, zone;
     bool spot = false;
     ReportAge age;
-    Term term;  // the highest token this worker has seen
+    Token token;  // the highest that this worker has seen
     std::optional<double> notice_s;
     std::vector<ReportedTask> tasks;
 };
@@ -76,7 +89,7 @@
     Attempt attempt = 0;
     double grace_s = 0;
 };
-std::string orders_body(Term term, const std::vector<Order>& orders,
+std::string orders_body(Token token, const std::vector<Order>& orders,
                         std::optional<std::uint64_t> session = {});
 std::string redirect_body(const std::optional<NodeName>& owner);
 
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -366,5 +366,27 @@
     s.expect_rules();
 }
 
+// Machines that report every ten seconds are asked to check in when a start for them was committed.
+TEST(Fleet, StartsAreDeliveredWithoutWaitingForAReport) {
+    World::Options o;
+    o.report_s = 10;
+    o.lease_s = 45;
+    o.cancel_s = 70;
+    World w(o);
+    for (int i = 0; i < 6; ++i) w.add_machine("small", "a", false, 0.5);
+    w.submit(w.job(id_of(100), 18, 1, 600));  // keeps the machines, and leaves room on them
+    ASSERT_TRUE(w.run_until([&] { return w.on_machines(id_of(100)) == 18; }, 60));
+    double slowest = 0;
+    for (int n = 1; n <= 5; ++n) {
+        w.run(30);  // a worker heeds a higher token once in half of its lease
+        const double asked = w.now();
+        w.submit(w.job(id_of(n), 2, 1, 3));
+        ASSERT_TRUE(w.run_until([&] { return w.on_machines(id_of(n)) == 2; }, 30));
+        slowest = std::max(slowest, w.now() - asked);
+    }
+    EXPECT_LT(slowest, 4);
+    expect_rules(w);
+}
+
 }  // namespace
 }  // namespace zdtest
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -654,7 +654,7 @@
                     if (!settle(report_s * (0.75 + 0.5 * chance()), target)) return;
                     std::uint64_t term = j.value("baton", std::uint64_t{0});
                     if (term < w2.term || term == 0 || session != w2.session) return;
-                    w2.term = term;
+                    take_token(w2, term);
                     if (now_ - w2.lease_from > lease_s) return;
                     w2.lease_from = std::max(w2.lease_from, sent);
                     execute(w2, j["orders"]);
@@ -670,13 +670,22 @@
     std::uint64_t term = b["baton"].get<std::uint64_t>();
     if (term < w.term || b["tenure"].get<std::uint64_t>() != w.session)
         return reply({409, report_body(w), -1});
-    w.term = term;
+    take_token(w, term);
     execute(w, b["orders"]);
     reply({200, report_body(w), -1});
 }
 
 void World::changed(Worker& w) { w.next_report = std::min(w.next_report, now_ + 0.3); }
 
+// A higher token counts as a change at most once in half of a lease.
+void World::take_token(Worker& w, std::uint64_t token) {
+    if (token > w.term && now_ - w.token_reported >= lease_s / 2) {
+        w.token_reported = now_;
+        changed(w);
+    }
+    w.term = token;
+}
+
 void World::execute(Worker& w, const Json& orders) {
     for (const auto& o : orders) {
         std::string ref = o["shard"].get<std::string>(), verb = o["verb"].get<std::string>();
--- a/tests/world.h
+++ b/tests/world.h
@@ -48,6 +48,7 @@
     std::uint64_t flights = 0;
     double lease_from = 0, next_report = 0, answered_sent = 0;
     std::optional<double> notice_at;
+    double token_reported = -1e9;  // when a higher token last counted as a change
     bool faulty = false;
     std::vector<std::function<void()>> while_hung;
 };
@@ -231,6 +232,7 @@
     void gang_lost(const std::string& job, std::uint32_t attempt);
     std::string report_body(Worker& w);
     void changed(Worker& w);
+    void take_token(Worker& w, std::uint64_t token);
     void user_request(const std::string& id, const std::string& method, const std::string& path,
                       const std::string& body, int via, bool submission, int tries);
     Options options_;
