--- a/tests/checker.h
+++ b/tests/checker.h
@@ -41,11 +41,14 @@
     // The task has its image, or is no longer there.
     void task_on(double now, const std::string& job, int task, const std::string& machine) {
         ++starts;
+        ++jobs_[job].starts;
         if (jobs_[job].begun < 0) jobs_[job].begun = now;
         auto& on = on_[{job, task}];
         if (!on.empty() && !on.contains(machine)) fail("ran_twice", job, task, machine);
         Job& j = jobs_[job];
         const MachineFacts& m = machines_[machine];
+        if (j.cancelled_at >= 0)
+            latest_cancelled_start = std::max(latest_cancelled_start, now - j.cancelled_at);
         if (j.cancelled_at >= 0 && now > j.cancelled_at + cancel_s) fail("ran_cancelled", job, task, machine);
         const JobFacts& f = j.facts;
         bool place = (!f.types_given || f.types.contains(m.type)) && (f.zone.empty() || f.zone == m.zone) &&
@@ -147,6 +150,9 @@
         return static_cast<int>(jobs_[job].done.size()) == jobs_[job].facts.tasks;
     }
     int starts = 0;
+    int starts_of(const std::string& job) { return jobs_[job].starts; }
+    // How long after its cancellation was confirmed the latest start of a cancelled job came; -1: none came.
+    double latest_cancelled_start = -1;
 
   private:
     struct Job {
@@ -155,6 +161,7 @@
         double cancelled_at = -1, begun = -1, silent_since = -1;
         std::string last;
         std::set<int> done;
+        int starts = 0;
     };
     void check_quota(const std::string& team) {
         auto limit = limits.find(team);
--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -7,21 +7,6 @@
 namespace zdtest {
 namespace {
 
-// After the troubles: all is told its end, in time, no room stood idle, and every rule held.
-void expect_recovery(World& w, const std::vector<std::string>& ids, double most = 200) {
-    w.checker.troubles_over = w.now();
-    EXPECT_TRUE(told_all(w, ids, most));
-    w.checker.judge_service();
-    expect_rules(w);
-}
-
-World::Options seeded(std::uint64_t seed, std::vector<std::string> zones = {"a"}) {
-    World::Options o;
-    o.seed = seed;
-    o.zones = std::move(zones);
-    return o;
-}
-
 // A zone with its workers and a controller is cut off for longer than a lease, cancellations fall into it,
 // and jobs bound to one zone, arrays too, are in it.
 class ZoneCut : public testing::TestWithParam<std::uint64_t> {};
@@ -434,7 +419,7 @@
                     if (x != y) w.link(x, y, l);
         };
         const std::vector<std::string> nodes{"n0", "n1", "n2"};
-        switch (pick(12)) {
+        switch (pick(15)) {
             case 0:
                 w.store.refused.insert(name);
                 w.at(s, [&w, name] { w.store.refused.erase(name); });
@@ -480,6 +465,18 @@
                 w.copies = 0.5;
                 w.at(s, [&w] { w.copies = 0; });
                 break;
+            case 11:
+                w.lost_answers = 0.4;
+                w.at(s, [&w] { w.lost_answers = 0; });
+                break;
+            case 12:
+                w.late_commands = w.late_command_answers = 0.5;
+                w.at(s, [&w] { w.late_commands = w.late_command_answers = 0; });
+                break;
+            case 13:
+                w.copies_for_next = 0.5;
+                w.at(s, [&w] { w.copies_for_next = 0; });
+                break;
             default:
                 w.freeze(n, s);
         }
--- a/tests/stories_test.cpp
+++ b/tests/stories_test.cpp
@@ -954,7 +954,7 @@
         for (auto& [id, m] : w.workers())
             if (m.alive) machines.push_back(id);
         const std::string machine = machines.empty() ? "" : machines[w.rng() % machines.size()];
-        switch (pick(16)) {
+        switch (pick(19)) {
             case 0:
                 w.crash(n);
                 w.at(0.1 + 6 * w.chance(), [&w, n] { w.start_node(n); });
@@ -1025,6 +1025,18 @@
                 w.repeats = 0.3;
                 w.at(6, [&w] { w.repeats = 0; });
                 break;
+            case 15:
+                w.lost_answers = 0.3;
+                w.at(5, [&w] { w.lost_answers = 0; });
+                break;
+            case 16:
+                w.late_commands = w.late_command_answers = 0.5;
+                w.at(8, [&w] { w.late_commands = w.late_command_answers = 0; });
+                break;
+            case 17:
+                w.copies_for_next = 0.4;
+                w.at(10, [&w] { w.copies_for_next = 0; });
+                break;
             default:
                 if (!machine.empty()) w.notice(machine, 6);
         }
--- a/tests/story.h
+++ b/tests/story.h
@@ -64,4 +64,19 @@
     return ids;
 }
 
+// After the troubles: all is told its end, in time, no room stood idle, and every rule held.
+inline void expect_recovery(World& w, const std::vector<std::string>& ids, double most = 200) {
+    w.checker.troubles_over = w.now();
+    EXPECT_TRUE(told_all(w, ids, most));
+    w.checker.judge_service();
+    expect_rules(w);
+}
+
+inline World::Options seeded(std::uint64_t seed, std::vector<std::string> zones = {"a"}) {
+    World::Options o;
+    o.seed = seed;
+    o.zones = std::move(zones);
+    return o;
+}
+
 }  // namespace zdtest
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -271,6 +271,7 @@
         store.tick();
         checker.tick(now_);
         watch_waiting();
+        send_kept_reports();
     };
     auto loop = std::make_shared<std::function<void()>>();
     *loop = [this, beat, weak = std::weak_ptr<std::function<void()>>(loop)] {
@@ -376,8 +377,10 @@
             at(2 + 10 * chance(), [this, from, req] { store.handle(from, req, [](const HttpResponse&) {}); });
             return;
         }
-        send(from, "state", [this, from, req, reply] {
-            store.handle(from, req, [this, from, reply](HttpResponse r) {
+        const bool lost = lost_answers > 0 && req.path == "/commit" && chance() < lost_answers;
+        send(from, "state", [this, from, req, reply, lost] {
+            store.handle(from, req, [this, from, reply, lost](HttpResponse r) {
+                if (lost) return;
                 at(store_delay * chance(),
                    [this, from, reply, r = std::move(r)] { send("state", from, [reply, r] { reply(r); }); });
             });
@@ -398,24 +401,40 @@
             if (auto it = workers_.find(id); it != workers_.end() && it->second.alive)
                 worker_http(it->second, req, [](const HttpResponse&) {});
         });
-        send(from, id, [this, id, from, req, reply] {
-            if (!workers_.contains(id)) return;
-            Worker& to = workers_.at(id);
-            auto act = [this, id, from, req, reply] {
-                if (!workers_.contains(id)) return;
-                worker_http(workers_.at(id), req, [this, id, from, reply](HttpResponse r) {
-                    send(id, from, [reply, r = std::move(r)] { reply(r); });
-                });
-            };
-            if (!to.alive) return;
-            if (to.hung)
-                to.while_hung.push_back(act);  // executed when it goes on
-            else
-                act();
+        if (late_commands > 0 && req.method == "POST" && chance() < late_commands) {
+            at(2 + 14 * chance(), [this, id, req] {
+                if (!deaf.contains(id)) reach_worker(id, req, [](const HttpResponse&) {});
+            });
+            return;
+        }
+        const bool held = late_command_answers > 0 && chance() < late_command_answers;
+        const double lag = held ? 4 * chance() : 0;
+        send(from, id, [this, id, from, req, reply, lag] {
+            reach_worker(id, req, [this, id, from, reply, lag](HttpResponse r) {
+                auto back = [this, id, from, reply, r = std::move(r)] {
+                    send(id, from, [reply, r] { reply(r); });
+                };
+                if (lag > 0)
+                    at(lag, back);
+                else
+                    back();
+            });
         });
     }
 }
 
+void World::reach_worker(const std::string& id, const HttpRequest& req, const Reply& reply) {
+    auto found = workers_.find(id);
+    if (found == workers_.end() || !found->second.alive) return;
+    auto act = [this, id, req, reply] {
+        if (workers_.contains(id)) worker_http(workers_.at(id), req, reply);
+    };
+    if (found->second.hung)
+        found->second.while_hung.push_back(act);
+    else
+        act();
+}
+
 void World::cloud(const HttpRequest& req, const Reply& reply) {
     if (options_.budgets) {
         const double rate = options_.cloud_rps;
@@ -624,6 +643,7 @@
                 hosts_[target].node->on_request({"POST", "/checkin", body}, [](const HttpResponse&) {});
         });
     }
+    if (copies_for_next > 0 && chance() < copies_for_next) keep_for_next(w, body);
     send(id, node_name, [this, id, node_name, target, body, settle, sent, session] {
         if (!up(static_cast<int>(target))) return;
         deliver(target, hosts_[target].life, 0, [=, this] {
@@ -863,6 +883,28 @@
     });
 }
 
+void World::keep_for_next(const Worker& w, const std::string& body) {
+    const auto term = hosts_[w.node].node->cluster().term_of(zd::MachineId(w.id));
+    if (term) kept_reports_.push_back({w.id, body, *term});
+}
+
+void World::send_kept_reports() {
+    std::erase_if(kept_reports_, [this](const KeptReport& kept) {
+        for (std::size_t host = 0; host < hosts_.size(); ++host) {
+            if (!hosts_[host].node) continue;
+            const auto term = hosts_[host].node->cluster().term_of(zd::MachineId(kept.machine));
+            if (!term || *term <= kept.term) continue;
+            at(3 * chance(), [this, host, life = hosts_[host].life, body = kept.body] {
+                deliver(host, life, 0, [this, host, body] {
+                    hosts_[host].node->on_request({"POST", "/checkin", body}, [](const HttpResponse&) {});
+                });
+            });
+            return true;
+        }
+        return false;
+    });
+}
+
 void World::watch_waiting() {
     if (checker.troubles_over < 0 || static_cast<std::uint64_t>(now_ * 10) % 10 != 0) return;
     std::map<std::string, std::pair<double, double>> used;  // by team
--- a/tests/world.h
+++ b/tests/world.h
@@ -155,10 +155,16 @@
     std::set<std::string> deaf;  // machines that send, and that nothing reaches
     std::set<std::string> mute;  // machines that reach no controller, while direct commands reach them
     double late_writes = 0;      // share of commits that get no answer and are carried out 2 to 12 s later
+    double lost_answers = 0;     // share of commits that are carried out at once while their answer is lost
     double store_delay = 0;      // the state service answers up to so much later
+    double late_commands = 0;    // share of direct commands carried out once, 2 to 16 s later, with no answer
+    double late_command_answers = 0;  // share of direct commands whose answer is up to 4 s on its way
     // Late copies: a report arrives once more at the same controller, so much later; its answer goes nowhere.
     double copies = 0;   // share of reports
     double copy_s = 40;  // up to
+    // Share of an owner's reports of which a copy is kept until the machine has a new owner, and arrives
+    // there.
+    double copies_for_next = 0;
     // Requests that were carried out come once more: commits, grants, rentals, returns, orders, submissions,
     // cancellations.
     double repeats = 0;    // share
@@ -221,6 +227,8 @@
     void http(const std::string& from, const std::string& address, const HttpRequest& req, Reply reply);
     void cloud(const HttpRequest& req, const Reply& reply);
     void worker_http(Worker& w, const HttpRequest& req, const Reply& reply);
+    // What reaches a machine that hangs is carried out when it goes on.
+    void reach_worker(const std::string& id, const HttpRequest& req, const Reply& reply);
     void worker_tick(const std::string& id);
     void report(Worker& w);
     void execute(Worker& w, const Json& orders);
@@ -231,6 +239,8 @@
     void drop_tasks(Worker& w);
     void gang_lost(const std::string& job, std::uint32_t attempt);
     std::string report_body(Worker& w);
+    void keep_for_next(const Worker& w, const std::string& body);
+    void send_kept_reports();
     void changed(Worker& w);
     void take_token(Worker& w, std::uint64_t token);
     void user_request(const std::string& id, const std::string& method, const std::string& path,
@@ -243,6 +253,11 @@
     std::map<std::pair<std::string, std::string>, Link> links_;
     std::map<std::pair<std::string, std::string>, std::vector<std::function<void()>>> held_;
     std::map<std::string, Worker> workers_;
+    struct KeptReport {
+        std::string machine, body;
+        zd::Term term;  // of the owner that it was sent to
+    };
+    std::vector<KeptReport> kept_reports_;
     std::map<std::string, JobText> jobs_;
     std::map<std::string, std::string> told_;
     std::set<std::string> cancelling_;
