--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -9,6 +9,7 @@
 #include "app/node.h"
 #include "app/real_env.h"
 #include "base/log.h"
+#include "loop/http_server.h"
 
 namespace {
 // A process starts with 1,024 files in most places, whatever its settings allow it.
--- a/src/app/real_env.h
+++ b/src/app/real_env.h
@@ -1,7 +1,7 @@
 // Env on the epoll loop.
 #pragma once
 #include "base/env.h"
-#include "loop/http.h"
+#include "loop/http_client.h"
 #include "loop/loop.h"
 #include "loop/peers.h"
 
--- a/tests/sockets_test.cpp
+++ b/tests/sockets_test.cpp
@@ -8,7 +8,8 @@
 #include <cerrno>
 #include <list>
 
-#include "loop/http.h"
+#include "loop/http_client.h"
+#include "loop/http_server.h"
 
 namespace zd {
 namespace {
--- a/tests/units_test.cpp
+++ b/tests/units_test.cpp
@@ -5,7 +5,7 @@
 
 #include "base/settings.h"
 #include "jobs/api.h"
-#include "loop/http.h"
+#include "loop/http_message.h"
 #include "policy/policy.h"
 #include "sched/logic.h"
 #include "store/store.h"
@@ -169,7 +169,7 @@
 
 TEST(HttpParser, BytewiseAndMutated) {
     const std::string text = "POST /api/jobs HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nabcd";
-    HttpMessageParser p(true, max_request_body);
+    HttpMessageParser p(HttpMessageParser::Kind::request, max_request_body);
     for (std::size_t i = 0; i < text.size(); ++i) {
         std::size_t used = 0;
         auto s = p.feed(std::string_view(text).substr(i, 1), used);
@@ -177,7 +177,7 @@
     }
     EXPECT_EQ(p.body, "abcd");
     EXPECT_EQ(p.target, "/api/jobs");
-    HttpMessageParser big(true, max_request_body);
+    HttpMessageParser big(HttpMessageParser::Kind::request, max_request_body);
     std::size_t used = 0;
     EXPECT_EQ(big.feed("POST / HTTP/1.1\r\nContent-Length: 65537\r\n\r\n", used),
               HttpMessageParser::State::too_large);
@@ -186,7 +186,7 @@
     for (int i = 0; i < 3000; ++i) {
         std::string bad = text;
         for (int k = 0; k < 2; ++k) bad[rng() % bad.size()] = static_cast<char>(rng());
-        HttpMessageParser q(true, max_request_body);
+        HttpMessageParser q(HttpMessageParser::Kind::request, max_request_body);
         if (q.feed(bad, used) == HttpMessageParser::State::broken) ++broken;
     }
     EXPECT_GT(broken, 100);
