Supplier split into inventory, provisioner, preemption, reservations, demand

Supply itself keeps the loop: read types and list, plan, drain, return. Arrival statistics, the reservations for gangs and for classes that can't wait for a boot, and the account of rentals under way have modules of their own.

What may go where is a value type, sched::PlacementConstraints, in place of joined strings. Keys are equal as before but for two cases that the joined text took for the same: an empty list of machine types and none at all, and names of types that contain a comma.

--- /dev/null
+++ b/src/supply/class_reservations.cpp
@@ -0,0 +1,146 @@
+#include "supply/class_reservations.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace zd::supply {
+namespace {
+constexpr double no_aim_s = 1e9;
+constexpr double short_aim_boots = 1.5;  // an aim below so many boot times needs machines that stand ready
+constexpr double save_share_of_aim = 0.4, max_save_s = 10;
+constexpr double min_standby_limit = 50;
+constexpr double standby_share = 0.25;  // of all machines
+
+// Ratings of machines, the best first.
+constexpr double runs_class_rating = 0;
+constexpr double clearing_rating = 0.5;
+constexpr double idle_rating = 2;  // less the share of images held
+constexpr double idle_reserved_bonus = 0.1;
+constexpr double busy_reserved_rating = 3, busy_rating = 4;  // and the loss when it is cleared
+constexpr double not_clearable_loss = 1e6;
+}  // namespace
+
+ClassReservations::ClassReservations(const Settings& settings, const Policy& policy, const Model& model,
+                                     Preemptor& preemptor, const ReservationMap& previous, PlanInput& plan)
+    : settings_(settings),
+      policy_(policy),
+      model_(model),
+      preemptor_(preemptor),
+      previous_(previous),
+      plan_(plan) {}
+
+std::optional<Demand> ClassReservations::reserve(const std::string& job_class,
+                                                 const ArrivalStatistics& arrivals, WallMs now,
+                                                 ReservationMap& reserved) {
+    const wire::JobSpec& spec = arrivals.latest_spec();
+    const wire::MachineType* type = cheapest_type(spec);
+    const double aim_s = wait_aim_s(job_class);
+    if (type == nullptr || aim_s > type->boot_s * short_aim_boots || arrivals.empty()) return std::nullopt;
+    const std::size_t standby = standby_machines(arrivals, *type, now);
+    const std::size_t waiting = waiting_tasks(job_class);
+    sched::Reservation reservation{job_class, spec.rank, std::min(aim_s * save_share_of_aim, max_save_s), {}};
+    auto [bins, running] = rate_bins(arrivals, reservation);
+    bins.resize(std::min(running + waiting + standby, bins.size()));
+    const std::size_t clearable = preemptor_.make_room(bins, waiting, spec, reservation);
+    // While tasks of the class wait, nobody else uses its machines, however soon it would yield: of a machine
+    // being cleared, the first half that came free was taken again before the second was.
+    if (waiting > 0) reservation.save_s = 0;
+    for (const auto& [rating, bin] : bins) {
+        bin->reserved = reservation;
+        reserved[bin->id] = reservation;
+    }
+    Demand demand;
+    demand.spec = &spec;
+    demand.pin = spec.zone;
+    demand.tasks = static_cast<TaskIndex>(standby - std::min(standby, clearable));
+    demand.run_s = std::max(1.0, spec.estimate_s);
+    return demand;
+}
+
+const wire::MachineType* ClassReservations::cheapest_type(const wire::JobSpec& spec) const {
+    const wire::MachineType* cheapest = nullptr;
+    for (const auto& type : model_.types())
+        if (sched::type_allowed(spec, type) && (cheapest == nullptr || type.price < cheapest->price))
+            cheapest = &type;
+    return cheapest;
+}
+
+double ClassReservations::wait_aim_s(const std::string& job_class) const {
+    double aim_s = no_aim_s;
+    for (const auto& objective : settings_.objectives)
+        if (objective.kind == "wait" && objective.job_class == job_class)
+            aim_s = std::min(aim_s, objective.within_s);
+    return aim_s;
+}
+
+// As many machines as are asked for while another would boot and fetch the image.
+std::size_t ClassReservations::standby_machines(const ArrivalStatistics& arrivals,
+                                                const wire::MachineType& type, WallMs now) const {
+    const double boot_s = type.boot_s + arrivals.latest_spec().image_gb / type.fetch_gb_per_s;
+    const double expected = std::ceil(arrivals.machines_per_s(now) * boot_s * policy_.reserve);
+    const double least = policy_.reserve > 0 ? 1.0 : 0.0;
+    const double most = std::max(min_standby_limit, static_cast<double>(plan_.bins.size()) * standby_share);
+    return static_cast<std::size_t>(std::clamp(expected, least, most));
+}
+
+std::size_t ClassReservations::waiting_tasks(const std::string& job_class) const {
+    std::size_t waiting = 0;
+    for (const Demand& demand : plan_.demands)
+        if (demand.spec->job_class == job_class) waiting += demand.tasks;
+    return waiting;
+}
+
+ClassReservations::RatedBins ClassReservations::rate_bins(const ArrivalStatistics& arrivals,
+                                                          const sched::Reservation& reservation) {
+    const wire::JobSpec& spec = arrivals.latest_spec();
+    const auto image_shares = arrivals.image_shares();
+    RatedBins rated;
+    for (Bin& bin : plan_.bins) {
+        if (bin.id.empty() || bin.reserved) continue;
+        if (!sched::machine_allowed(spec, spec.zone, bin.type, bin.zone, bin.spot)) continue;
+        const wire::MachineType* type = model_.type(bin.type);
+        if (type == nullptr || !type->room.fits(spec.need)) continue;
+        const bool runs = runs_class(bin.id, reservation.job_class);
+        if (runs) ++rated.running;
+        rated.bins.push_back({rate(bin, *type, runs, image_shares, reservation), &bin});
+    }
+    std::stable_sort(rated.bins.begin(), rated.bins.end(),
+                     [](const RatedBin& a, const RatedBin& b) { return a.rating < b.rating; });
+    return rated;
+}
+
+double ClassReservations::rate(const Bin& bin, const wire::MachineType& type, bool runs_class,
+                               const std::map<std::string, double>& image_shares,
+                               const sched::Reservation& reservation) const {
+    if (runs_class) return runs_class_rating;
+    if (preemptor_.is_clearing(bin.id)) return clearing_rating;
+    const bool was_reserved = previous_.contains(bin.id);
+    const bool idle = model_.on_machine(bin.id).empty();
+    // Of the idle ones those first that hold the images which the class asks for most: a gang with room waits
+    // for the fetch of its image alone.
+    if (idle)
+        return idle_rating - held_image_share(bin.id, type, image_shares) -
+               (was_reserved ? idle_reserved_bonus : 0);
+    // Of the busy ones those first that lose least when they are cleared.
+    return (was_reserved ? busy_reserved_rating : busy_rating) +
+           preemptor_.loss_of(bin.id, reservation).value_or(not_clearable_loss);
+}
+
+bool ClassReservations::runs_class(const MachineId& id, const std::string& job_class) const {
+    const auto& tasks = model_.on_machine(id);
+    return std::any_of(tasks.begin(), tasks.end(), [&](const TaskRef& ref) {
+        const Job* job = model_.job(ref.job);
+        return job != nullptr && job->spec.job_class == job_class;
+    });
+}
+
+double ClassReservations::held_image_share(const MachineId& id, const wire::MachineType& type,
+                                           const std::map<std::string, double>& image_shares) const {
+    double held = 0;
+    model_.each_image(id, type.cache_gb, [&](const std::string& image) {
+        if (auto share = image_shares.find(image); share != image_shares.end()) held += share->second;
+    });
+    return held;
+}
+
+}  // namespace zd::supply
--- /dev/null
+++ b/src/supply/class_reservations.h
@@ -0,0 +1,63 @@
+/// Machines reserved for classes of jobs that can't wait for a boot.
+#pragma once
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/settings.h"
+#include "policy/policy.h"
+#include "sched/logic.h"
+#include "store/model.h"
+#include "supply/arrivals.h"
+#include "supply/gang_reservations.h"
+#include "supply/plan.h"
+#include "supply/preemption.h"
+
+namespace zd::supply {
+
+/// One pass of reserving machines for classes.
+///
+/// Classes whose aim for the wait is shorter than a boot can only be met by machines that stand ready: those
+/// that run them now, and as many more as arrive, by the recent rate, while another machine would boot.
+class ClassReservations {
+  public:
+    /// `previous` holds the reservations made by the last pass. The bins in `plan` are marked as they are
+    /// reserved.
+    ClassReservations(const Settings& settings, const Policy& policy, const Model& model,
+                      Preemptor& preemptor, const ReservationMap& previous, PlanInput& plan);
+
+    /// Reserves machines for one class where it needs any, and adds them to `reserved`. Returns the demand
+    /// for machines that it will need beyond those.
+    std::optional<Demand> reserve(const std::string& job_class, const ArrivalStatistics& arrivals, WallMs now,
+                                  ReservationMap& reserved);
+
+  private:
+    struct RatedBins {
+        std::vector<RatedBin> bins;
+        std::size_t running = 0;  // bins that run tasks of the class
+    };
+
+    const wire::MachineType* cheapest_type(const wire::JobSpec& spec) const;
+    double wait_aim_s(const std::string& job_class) const;
+    std::size_t standby_machines(const ArrivalStatistics& arrivals, const wire::MachineType& type,
+                                 WallMs now) const;
+    std::size_t waiting_tasks(const std::string& job_class) const;
+    RatedBins rate_bins(const ArrivalStatistics& arrivals, const sched::Reservation& reservation);
+    double rate(const Bin& bin, const wire::MachineType& type, bool runs_class,
+                const std::map<std::string, double>& image_shares,
+                const sched::Reservation& reservation) const;
+    bool runs_class(const MachineId& id, const std::string& job_class) const;
+    double held_image_share(const MachineId& id, const wire::MachineType& type,
+                            const std::map<std::string, double>& image_shares) const;
+
+    const Settings& settings_;
+    const Policy& policy_;
+    const Model& model_;
+    Preemptor& preemptor_;
+    const ReservationMap& previous_;
+    PlanInput& plan_;
+};
+
+}  // namespace zd::supply
--- /dev/null
+++ b/src/supply/demand.cpp
@@ -0,0 +1,140 @@
+#include "supply/demand.h"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "sched/placement_constraints.h"
+
+namespace zd::supply {
+namespace {
+constexpr double default_patience_s = 60, min_deadline_patience_s = 5;
+constexpr double patience_share_of_slack = 0.3;  // of the time left beside the run itself
+constexpr double patience_share_of_wait = 0.35;  // of the wait aimed for
+constexpr double service_run_s =
+    1e6;  // frees its room only when it is cancelled: nothing is planned after it
+constexpr double min_run_s = 1;
+
+constexpr std::size_t max_unmerged = 64;  // demands planned one by one
+constexpr double similar_amounts_ratio = 1.15;
+constexpr double similar_patience_s = 10;
+
+// Demands that are planned as one.
+struct DemandGroup {
+    std::string job_class;
+    wire::Rank rank = wire::Rank::standard;
+    sched::PlacementConstraints constraints;
+    std::optional<std::string> pinned_zone;
+    int cpu_step = 0, gpu_step = 0, ram_step = 0, patience_step = 0;
+    auto operator<=>(const DemandGroup&) const = default;
+};
+
+// Amounts of one step differ by less than the ratio.
+int amount_step(std::int64_t amount) {
+    if (amount <= 0) return 0;
+    return static_cast<int>(std::log(static_cast<double>(amount)) / std::log(similar_amounts_ratio));
+}
+
+DemandGroup group_of(const Demand& demand) {
+    const wire::JobSpec& spec = *demand.spec;
+    return {spec.job_class,
+            spec.rank,
+            sched::PlacementConstraints::of(spec),
+            demand.pin,
+            amount_step(spec.need.cpu),
+            amount_step(spec.need.gpu),
+            amount_step(spec.need.ram),
+            static_cast<int>(demand.patience_s / similar_patience_s)};
+}
+
+void join(Demand& joined, const Demand& other) {
+    const double n = joined.tasks, m = other.tasks;
+    joined.run_s = (joined.run_s * n + other.run_s * m) / std::max(1.0, n + m);
+    joined.patience_s = std::min(joined.patience_s, other.patience_s);
+    joined.tasks += other.tasks;
+    // What fits the larger fits both.
+    if (other.spec->need.cpu > joined.spec->need.cpu) joined.spec = other.spec;
+}
+
+std::vector<const Job*> waiting_jobs(const Model& model) {
+    std::vector<const Job*> jobs;
+    for (const auto& [id, job] : model.jobs())
+        if (!job.cancelled && job.pending() > 0) jobs.push_back(&job);
+    std::sort(jobs.begin(), jobs.end(), [](const Job* a, const Job* b) {
+        if (a->spec.rank != b->spec.rank) return a->spec.rank < b->spec.rank;
+        return a->submitted < b->submitted;
+    });
+    return jobs;
+}
+
+// Takes room for a job's pending tasks from what the team's limits leave; returns for how many there was
+// some.
+std::int64_t take_team_room(const Team& team, TeamUse& use, const Job& job) {
+    const Room& need = job.spec.need;
+    auto tasks = static_cast<std::int64_t>(job.pending());
+    if (team.cpu_max > 0 && need.cpu > 0) tasks = std::min(tasks, (team.cpu_max - use.cpu) / need.cpu);
+    if (team.gpu_max > 0 && need.gpu > 0) tasks = std::min(tasks, (team.gpu_max - use.gpu) / need.gpu);
+    if (tasks <= 0) return 0;
+    use.cpu += tasks * need.cpu;
+    use.gpu += tasks * need.gpu;
+    return tasks;
+}
+}  // namespace
+
+std::vector<Demand> waiting_demands(const Settings& settings, const Policy& policy, const Model& model,
+                                    WallMs now) {
+    std::vector<Demand> demands;
+    std::map<TeamName, TeamUse> use_by_team;
+    for (const Job* job : waiting_jobs(model)) {
+        const Team* team = model.team_settings(job->spec.team);
+        if (team == nullptr) continue;
+        auto [use, fresh] = use_by_team.try_emplace(job->spec.team);
+        if (fresh) use->second = model.team(job->spec.team);
+        const std::int64_t tasks = take_team_room(*team, use->second, *job);
+        if (tasks == 0) continue;
+        const double waited_s = static_cast<double>(now.v - job->submitted.v) / 1000.0;
+        Demand demand;
+        demand.spec = &job->spec;
+        demand.pin = job->pinned_zone;
+        demand.tasks = static_cast<TaskIndex>(tasks);
+        demand.run_s = job->spec.shape == wire::Shape::service ? service_run_s
+                                                               : std::max(min_run_s, job->spec.estimate_s);
+        demand.patience_s = std::max(0.0, patience(settings, job->spec) * policy.patience - waited_s);
+        demands.push_back(std::move(demand));
+    }
+    return demands;
+}
+
+std::vector<Demand> merge(std::vector<Demand> demands) {
+    if (demands.size() <= max_unmerged) return demands;
+    std::vector<Demand> merged;
+    std::map<DemandGroup, std::size_t> index_by_group;
+    for (const Demand& demand : demands) {
+        auto [index, fresh] = index_by_group.emplace(group_of(demand), merged.size());
+        if (fresh)
+            merged.push_back(demand);
+        else
+            join(merged[index->second], demand);
+    }
+    return merged;
+}
+
+double patience(const Settings& settings, const wire::JobSpec& spec) {
+    auto share_of_slack = [&](double limit_s) {
+        return std::max(min_deadline_patience_s, (limit_s - spec.estimate_s) * patience_share_of_slack);
+    };
+    double patience_s = spec.deadline_s ? share_of_slack(*spec.deadline_s) : default_patience_s;
+    for (const auto& objective : settings.objectives) {
+        if (objective.job_class != spec.job_class) continue;
+        if (objective.kind == "wait")
+            patience_s = std::min(patience_s, objective.within_s * patience_share_of_wait);
+        if (objective.kind == "finished")
+            patience_s = std::min(patience_s, share_of_slack(objective.within_s));
+    }
+    return patience_s;
+}
+
+}  // namespace zd::supply
--- /dev/null
+++ b/src/supply/peer_messages.h
@@ -0,0 +1,17 @@
+/// How the supplier's modules send messages to controllers.
+#pragma once
+#include <cstddef>
+#include <functional>
+
+#include "base/types.h"
+#include "wire/peer.h"
+
+namespace zd::supply {
+
+/// Sends a message to another controller, or to this one.
+using SendPeer = std::function<void(const NodeName&, wire::PeerMessage)>;
+
+/// Lists of machines are split into messages of so many, well below the largest frame.
+constexpr std::size_t max_machines_per_message = 1000;
+
+}  // namespace zd::supply
--- a/src/supply/plan.cpp
+++ b/src/supply/plan.cpp
@@ -1,9 +1,9 @@
 #include "supply/plan.h"
 
 #include <algorithm>
-#include <cmath>
 #include <deque>
 #include <limits>
+#include <optional>
 #include <queue>
 #include <tuple>
 #include <utility>
@@ -12,9 +12,8 @@
 
 namespace zd::supply {
 namespace {
-constexpr std::size_t most_considered = 50'000;  // tasks: a plan must not stall the loop
-constexpr std::size_t most_apart = 64;           // demands planned one by one
-constexpr double amounts_alike = 1.15, patience_alike_s = 10;
+constexpr std::size_t max_considered = 50'000;  // tasks: a plan must not stall the loop
+constexpr double boot_margin_s = 0.1;           // what is rented now is counted on this long after its boot
 
 double fetch_time(const wire::JobSpec& s, const wire::MachineType& t) {
     return s.image_gb / t.fetch_gb_per_s;
@@ -84,124 +83,123 @@
     std::vector<Bin>& bins_;
     const Demand& demand_;
     const std::vector<wire::MachineType>& types_;
-    std::deque<Kind> seen_;
-    std::vector<std::pair<const Kind*, const wire::MachineType*>> kinds_;
+    std::deque<MachineKind> seen_;
+    std::vector<std::pair<const MachineKind*, const wire::MachineType*>> kinds_;
     std::priority_queue<Entry> heap_;
 };
-}  // namespace
 
-std::vector<Demand> merge(std::vector<Demand> demands) {
-    if (demands.size() <= most_apart) return demands;
-    auto step = [](std::int64_t v) {
-        return v <= 0 ? 0 : static_cast<int>(std::log(static_cast<double>(v)) / std::log(amounts_alike));
+// A kind of machine to rent, with its type.
+struct RentChoice {
+    MachineKind kind;
+    const wire::MachineType* type = nullptr;
+};
+
+// Packs demands one after another, the most urgent first.
+class Planner {
+  public:
+    explicit Planner(PlanInput& input) : input_(input) {}
+    Plan make();
+
+  private:
+    // How a machine of a type would serve a demand.
+    struct Service {
+        double tasks = 0;  // that it takes on
+        double rented_s = 0;
     };
-    std::vector<Demand> out;
-    std::map<std::string, std::size_t> at;
-    for (const auto& d : demands) {
-        const wire::JobSpec& s = *d.spec;
-        std::string key = s.job_class + "|" + std::to_string(static_cast<int>(s.rank)) +
-                          (s.spot ? "s" : "o") + "@" + d.pin.value_or("") + "@" + s.zone.value_or("") + "|" +
-                          std::to_string(step(s.need.cpu)) + "," + std::to_string(step(s.need.gpu)) + "," +
-                          std::to_string(step(s.need.ram)) + "," +
-                          std::to_string(static_cast<int>(d.patience_s / patience_alike_s));
-        if (s.types)
-            for (const auto& t : *s.types) key += "," + t;
-        auto [it, fresh] = at.emplace(key, out.size());
-        if (fresh) {
-            out.push_back(d);
-            continue;
-        }
-        Demand& o = out[it->second];
-        const double n = o.tasks, m = d.tasks;
-        o.run_s = (o.run_s * n + d.run_s * m) / std::max(1.0, n + m);
-        o.patience_s = std::min(o.patience_s, d.patience_s);
-        o.tasks += d.tasks;
-        if (s.need.cpu > o.spec->need.cpu) o.spec = d.spec;  // what fits the larger fits both
+    void plan_demand(Demand& demand);
+    void wait_for_boot(Demand& demand) const;
+    bool place_on_new(const Demand& demand, Openings& openings, TaskIndex left);
+    std::optional<RentChoice> cheapest_kind(const Demand& demand, TaskIndex left) const;
+    static Service service(const Demand& demand, const wire::MachineType& type, TaskIndex left);
+
+    PlanInput& input_;
+    Plan plan_;
+    std::size_t considered_ = 0, rented_ = 0;
+};
+
+Plan Planner::make() {
+    for (Demand& demand : input_.demands) {
+        wait_for_boot(demand);
+        plan_demand(demand);
     }
-    return out;
+    for (const Bin& bin : input_.bins)
+        if (bin.used && !bin.id.empty()) plan_.wanted.insert(bin.id);
+    return std::move(plan_);
 }
 
-double patience(const Settings& s, const wire::JobSpec& spec) {
-    double most = spec.deadline_s ? std::max(5.0, (*spec.deadline_s - spec.estimate_s) * 0.3) : 60.0;
-    for (const auto& o : s.objectives) {
-        if (o.job_class != spec.job_class) continue;
-        if (o.kind == "wait") most = std::min(most, o.within_s * 0.35);
-        if (o.kind == "finished") most = std::min(most, std::max(5.0, (o.within_s - spec.estimate_s) * 0.3));
+// No machine rented now is there before its boot is over: until then, renting helps nobody.
+void Planner::wait_for_boot(Demand& demand) const {
+    std::optional<double> soonest;
+    for (const auto& type : *input_.types)
+        if (sched::type_allowed(*demand.spec, type))
+            soonest = std::min(soonest.value_or(type.boot_s), type.boot_s);
+    if (soonest) demand.patience_s = std::max(demand.patience_s, *soonest + boot_margin_s);
+}
+
+void Planner::plan_demand(Demand& demand) {
+    TaskIndex left = demand.tasks;
+    if (left == 0 || considered_ >= max_considered) return;
+    Openings openings(input_.bins, demand, *input_.types);
+    while (left > 0 && considered_ < max_considered) {
+        ++considered_;
+        if (!openings.place(demand.patience_s) && !place_on_new(demand, openings, left)) return;
+        --left;
     }
-    return most;
 }
 
-Plan make_plan(PlanInput in) {
-    Plan plan;
-    std::size_t considered = 0, rented = 0;
-    for (auto& d : in.demands) {
-        // No machine rented now is there before its boot is over: until then, renting helps nobody.
-        double soonest = std::numeric_limits<double>::max();
-        for (const auto& t : *in.types)
-            if (sched::type_allowed(*d.spec, t)) soonest = std::min(soonest, t.boot_s);
-        if (soonest < std::numeric_limits<double>::max())
-            d.patience_s = std::max(d.patience_s, soonest + 0.1);
-        TaskIndex left = d.tasks;
-        if (left == 0 || considered >= most_considered) continue;
-        Openings openings(in.bins, d, *in.types);
-        while (left > 0 && considered < most_considered) {
-            ++considered;
-            if (openings.place(d.patience_s)) {
-                --left;
-                continue;
-            }
-            if (rented >= in.most_new) break;
-            // The kind that costs least for each of the tasks that it would take on.
-            std::optional<Kind> best;
-            const wire::MachineType* best_type = nullptr;
-            double least = std::numeric_limits<double>::max();
-            for (const auto& t : *in.types) {
-                if (!sched::type_allowed(*d.spec, t) || !sched::worth_using(*d.spec, t, *in.types)) continue;
-                auto many = static_cast<std::int64_t>(left);
-                auto at_once = [&](std::int64_t has, std::int64_t need) {
-                    return need > 0 ? has / need : many;
-                };
-                std::int64_t side =
-                    std::min({at_once(t.room.cpu, d.spec->need.cpu), at_once(t.room.gpu, d.spec->need.gpu),
-                              at_once(t.room.ram, d.spec->need.ram)});
-                double turns = std::max(1.0, 1 + (d.patience_s - t.boot_s) / std::max(1.0, d.run_s));
-                double takes = std::min(static_cast<double>(many), static_cast<double>(side) * turns);
-                double hours = t.boot_s + fetch_time(*d.spec, t) +
-                               d.run_s * std::max(1.0, takes / static_cast<double>(side));
-                for (const auto& z : t.zones)
-                    for (bool spot : {true, false}) {
-                        Kind k{t.name, z, spot};
-                        if (!sched::machine_allowed(*d.spec, d.pin, t.name, z, spot) ||
-                            in.refused.contains(k))
-                            continue;
-                        double cost = (spot ? t.spot_price : t.price) * hours / takes;
-                        if (cost < least) {
-                            least = cost;
-                            best = k;
-                            best_type = &t;
-                        }
-                    }
+// Rents one more machine for a demand of which `left` tasks have no place yet.
+bool Planner::place_on_new(const Demand& demand, Openings& openings, TaskIndex left) {
+    if (rented_ >= input_.most_new) return false;
+    const std::optional<RentChoice> choice = cheapest_kind(demand, left);
+    if (!choice) return false;
+    const auto& [kind, type] = *choice;
+    ++plan_.rent[kind];
+    ++rented_;
+    input_.bins.push_back(
+        {MachineId(), kind.type, kind.zone, kind.spot, {{type->boot_s, type->room}}, true, {}});
+    openings.add_bin(input_.bins.size() - 1);
+    // Nothing is there sooner than a boot takes: what is rented for this task serves it however patient it
+    // is.
+    return openings.place(std::max(demand.patience_s, type->boot_s + boot_margin_s));
+}
+
+// The kind that costs least for each of the tasks that it would take on.
+std::optional<RentChoice> Planner::cheapest_kind(const Demand& demand, TaskIndex left) const {
+    std::optional<RentChoice> cheapest;
+    double least = std::numeric_limits<double>::max();
+    for (const auto& type : *input_.types) {
+        if (!sched::type_allowed(*demand.spec, type)) continue;
+        if (!sched::worth_using(*demand.spec, type, *input_.types)) continue;
+        const Service served = service(demand, type, left);
+        for (const auto& zone : type.zones)
+            for (const bool spot : {true, false}) {
+                MachineKind kind{type.name, zone, spot};
+                if (!sched::machine_allowed(*demand.spec, demand.pin, type.name, zone, spot) ||
+                    input_.refused.contains(kind))
+                    continue;
+                const double cost = (spot ? type.spot_price : type.price) * served.rented_s / served.tasks;
+                if (cost < least) {
+                    least = cost;
+                    cheapest = RentChoice{std::move(kind), &type};
+                }
             }
-            if (!best) break;
-            ++plan.rent[*best];
-            ++rented;
-            in.bins.push_back({MachineId(),
-                               best->type,
-                               best->zone,
-                               best->spot,
-                               {{best_type->boot_s, best_type->room}},
-                               true,
-                               {}});
-            // Nothing is there sooner than a boot takes: what is rented for this task serves it however
-            // patient it is.
-            openings.add_bin(in.bins.size() - 1);
-            if (!openings.place(std::max(d.patience_s, best_type->boot_s + 0.1))) break;
-            --left;
-        }
     }
-    for (const auto& b : in.bins)
-        if (b.used && !b.id.empty()) plan.wanted.insert(b.id);
-    return plan;
+    return cheapest;
+}
+
+Planner::Service Planner::service(const Demand& demand, const wire::MachineType& type, TaskIndex left) {
+    const auto tasks = static_cast<std::int64_t>(left);
+    auto fitting = [&](std::int64_t has, std::int64_t need) { return need > 0 ? has / need : tasks; };
+    const Room& need = demand.spec->need;
+    const std::int64_t at_once = std::min({fitting(type.room.cpu, need.cpu), fitting(type.room.gpu, need.gpu),
+                                           fitting(type.room.ram, need.ram)});
+    const double turns = std::max(1.0, 1 + (demand.patience_s - type.boot_s) / std::max(1.0, demand.run_s));
+    const double taken = std::min(static_cast<double>(tasks), static_cast<double>(at_once) * turns);
+    const double run_s = demand.run_s * std::max(1.0, taken / static_cast<double>(at_once));
+    return {taken, type.boot_s + fetch_time(*demand.spec, type) + run_s};
 }
+}  // namespace
+
+Plan make_plan(PlanInput input) { return Planner(input).make(); }
 
 }  // namespace zd::supply
--- /dev/null
+++ b/src/supply/preemption.h
@@ -0,0 +1,60 @@
+/// Stopping tasks so that work of higher rank finds room on their machines.
+#pragma once
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "base/env.h"
+#include "policy/policy.h"
+#include "sched/logic.h"
+#include "store/model.h"
+#include "supply/inventory.h"
+#include "supply/peer_messages.h"
+#include "supply/plan.h"
+
+namespace zd::supply {
+
+/// A machine to reserve, with its place in the order of choice: the lowest rating first.
+struct RatedBin {
+    double rating = 0;
+    Bin* bin = nullptr;
+};
+
+/// Chooses which tasks to stop, and asks their owners to.
+class Preemptor {
+  public:
+    Preemptor(Env& env, const Policy& policy, const Model& model, const MachineInventory& inventory,
+              SendPeer send);
+
+    /// Forgets since when tasks are placed: this node isn't the supplier.
+    void reset();
+    /// Notes what has been placed or has ended since the last call.
+    void track_placements();
+    /// Forgets the machines that were asked to make room long ago.
+    void expire();
+    /// Whether the machine's tasks were asked to make room, not long ago.
+    bool is_clearing(const MachineId& id) const { return clearing_.contains(id); }
+    /// The work that stopping all of a machine's tasks for the reservation would lose, in seconds; nothing
+    /// when they may not be stopped.
+    std::optional<double> loss_of(const MachineId& id, const sched::Reservation& reservation) const;
+    /// Clears as many of these machines as the `waiting` tasks of a job like `spec` lack. Returns how many
+    /// more could be cleared without loss of work.
+    std::size_t make_room(const std::vector<RatedBin>& machines, std::size_t waiting,
+                          const wire::JobSpec& spec, const sched::Reservation& reservation);
+
+  private:
+    void clear(const MachineId& id, double loss_s, const sched::Reservation& reservation);
+
+    Env& env_;
+    const Policy& policy_;
+    const Model& model_;
+    const MachineInventory& inventory_;
+    SendPeer send_;
+    bool tracking_ = false;
+    std::map<std::pair<TaskRef, Attempt>, Mono> placed_since_;  // as this supplier saw it
+    std::map<MachineId, Mono> clearing_;                        // when it was asked
+};
+
+}  // namespace zd::supply
--- /dev/null
+++ b/src/supply/provisioner.h
@@ -0,0 +1,62 @@
+/// Renting machines from the cloud and returning them.
+#pragma once
+#include <cstdint>
+#include <map>
+#include <set>
+#include <vector>
+
+#include "base/env.h"
+#include "base/settings.h"
+#include "cloud/cloud.h"
+#include "cluster/cluster.h"
+#include "policy/policy.h"
+#include "store/model.h"
+#include "supply/inventory.h"
+#include "supply/peer_messages.h"
+#include "supply/plan.h"
+
+namespace zd::supply {
+
+/// Why a machine is returned.
+enum class ReturnReason : std::uint8_t { idle, silent, slow_boot, failed };
+
+/// Makes the calls that rent and return machines, and keeps account of those under way.
+class Provisioner {
+  public:
+    Provisioner(Env& env, const Settings& settings, const Policy& policy, const Cluster& cluster,
+                CloudClient& cloud, MachineInventory& inventory, SendPeer send);
+
+    /// Forgets the rentals under way: this node has just become the supplier.
+    void reset() { renting_.clear(); }
+    /// Machines asked for, by kind, while the cloud has not answered.
+    const std::map<MachineKind, std::uint32_t>& renting() const { return renting_; }
+    /// Kinds that the cloud refused a short while ago.
+    std::set<MachineKind> refused(Mono now) const;
+    /// The number of machines to plan for at a time.
+    std::size_t max_planned() const;
+
+    /// Rents machines, in as many calls as it takes. A kind that is being rented already is left out.
+    void rent(const std::map<MachineKind, std::uint32_t>& counts);
+    /// Returns machines, as many as one call takes; those that are being returned already are left out. When
+    /// the cloud confirms it, all controllers are told.
+    void give_back(std::vector<MachineId> machines, ReturnReason reason);
+
+  private:
+    void request(const MachineKind& kind, std::uint32_t count);
+    void on_rented(const MachineKind& kind, std::uint32_t count, CloudClient::Rent outcome,
+                   const std::vector<MachineId>& machines);
+    void on_give_back(const std::vector<MachineId>& machines, bool confirmed);
+
+    Env& env_;
+    const Settings& settings_;
+    const Policy& policy_;
+    const Cluster& cluster_;
+    CloudClient& cloud_;
+    MachineInventory& inventory_;
+    SendPeer send_;
+    std::map<MachineKind, Mono> refused_until_;
+    std::map<MachineKind, std::uint32_t> renting_;
+    std::uint64_t last_request_ = 0;
+};
+
+}  // namespace zd::supply
--- /dev/null
+++ b/src/supply/reservations.cpp
@@ -0,0 +1,64 @@
+#include "supply/reservations.h"
+
+#include <utility>
+#include <vector>
+
+#include "supply/class_reservations.h"
+
+namespace zd::supply {
+
+ReservationPlanner::ReservationPlanner(Env& env, const Settings& settings, const Policy& policy,
+                                       const Model& model, const MachineInventory& inventory,
+                                       const SendPeer& send)
+    : env_(env),
+      settings_(settings),
+      policy_(policy),
+      model_(model),
+      send_(send),
+      preemptor_(env, policy, model, inventory, send) {}
+
+void ReservationPlanner::update(PlanInput& plan) {
+    const WallMs now = env_.wall();
+    preemptor_.track_placements();
+    record_arrivals();
+    preemptor_.expire();
+    ReservationMap reserved =
+        GangReservations(settings_, model_, preemptor_, reserved_, plan.bins).reserve(now);
+    ClassReservations classes(settings_, policy_, model_, preemptor_, reserved_, plan);
+    std::vector<Demand> standby;
+    for (auto& [job_class, arrivals] : arrivals_) {
+        arrivals.expire(now);
+        if (auto demand = classes.reserve(job_class, arrivals, now, reserved))
+            standby.push_back(std::move(*demand));
+    }
+    // Added last: until here the demands are those of waiting tasks alone.
+    for (Demand& demand : standby) plan.demands.push_back(std::move(demand));
+    reserved_ = std::move(reserved);
+}
+
+void ReservationPlanner::record_arrivals() {
+    for (const auto& [id, job] : model_.jobs())
+        if (!job.cancelled) arrivals_[job.spec.job_class].record(job);
+}
+
+void ReservationPlanner::announce() const {
+    std::map<NodeName, std::vector<wire::ReservedMachine>> by_owner;
+    for (const auto& node : settings_.all_nodes()) by_owner[node];
+    for (const auto& [id, reservation] : reserved_) {
+        auto owner = by_owner.find(model_.parts()[model_.part_of(id)].owner);
+        if (owner == by_owner.end()) continue;
+        owner->second.push_back({id, reservation.job_class, reservation.rank,
+                                 static_cast<std::uint32_t>(reservation.save_s * 1000), reservation.job});
+    }
+    for (auto& [node, machines] : by_owner) {
+        wire::Reserve message;
+        for (auto& machine : machines) {
+            message.machines.push_back(std::move(machine));
+            if (message.machines.size() < max_machines_per_message) continue;
+            send_(node, std::exchange(message, wire::Reserve{false, {}}));
+        }
+        if (message.first || !message.machines.empty()) send_(node, std::move(message));
+    }
+}
+
+}  // namespace zd::supply
--- /dev/null
+++ b/src/supply/reservations.h
@@ -0,0 +1,45 @@
+/// Which machines are reserved, and for what.
+#pragma once
+#include <map>
+#include <string>
+
+#include "base/env.h"
+#include "base/settings.h"
+#include "policy/policy.h"
+#include "store/model.h"
+#include "supply/arrivals.h"
+#include "supply/gang_reservations.h"
+#include "supply/inventory.h"
+#include "supply/peer_messages.h"
+#include "supply/plan.h"
+#include "supply/preemption.h"
+
+namespace zd::supply {
+
+/// Chooses anew at each plan which machines are reserved, and tells their owners.
+class ReservationPlanner {
+  public:
+    ReservationPlanner(Env& env, const Settings& settings, const Policy& policy, const Model& model,
+                       const MachineInventory& inventory, const SendPeer& send);
+
+    /// This node isn't the supplier.
+    void reset() { preemptor_.reset(); }
+    /// Reserves machines among the plan's bins, and adds the demand for machines that have to stand ready.
+    void update(PlanInput& plan);
+    /// Tells each owner which of its machines are reserved.
+    void announce() const;
+
+  private:
+    void record_arrivals();
+
+    Env& env_;
+    const Settings& settings_;
+    const Policy& policy_;
+    const Model& model_;
+    SendPeer send_;
+    Preemptor preemptor_;
+    std::map<std::string, ArrivalStatistics> arrivals_;  // by job class
+    ReservationMap reserved_;
+};
+
+}  // namespace zd::supply
