--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -28,9 +28,8 @@
                   settings.max_sockets, fewer);
     settings.max_sockets = std::min(settings.max_sockets, fewer);
 }
-}  // namespace
 
-int main(int argc, char** argv) {
+int run(int argc, char** argv) {
     CLI::App app{"zincdyke: a cluster scheduler"};
     std::string config, policy_file;
     bool check = false;
@@ -68,10 +67,9 @@
         node = std::make_unique<zd::Node>(env, settings, policy);
         zd::ServerLimits limits;
         limits.connections = settings.sockets().server;
-        zd::HttpServer server(loop, settings.api_addr, limits,
-                              [&node](zd::HttpRequest req, const zd::Reply& reply) {
-                                  node->on_request(std::move(req), reply);
-                              });
+        zd::HttpServer server(
+            loop, settings.api_addr, limits,
+            [&node](const zd::HttpRequest& req, const zd::Reply& reply) { node->on_request(req, reply); });
         node->start();
         zd::log::info("event=started version={} api={} cluster={}", ZINCDYKE_VERSION, settings.api_addr,
                       settings.cluster_listen);
@@ -82,3 +80,15 @@
     }
     return 0;
 }
+}  // namespace
+
+int main(int argc, char** argv) {
+    try {
+        return run(argc, argv);
+    } catch (const std::exception& e) {
+        std::cerr << "zincdyke: " << e.what() << '\n';
+    } catch (...) {
+        std::cerr << "zincdyke: unknown error\n";
+    }
+    return 1;
+}
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -123,7 +123,7 @@
     return std::none_of(peers_.begin(), peers_.end(), [&](const auto& p) { return near(p.first); });
 }
 
-void Node::on_request(HttpRequest req, const Reply& reply) {
+void Node::on_request(const HttpRequest& req, const Reply& reply) {
     if (req.path == "/checkin") {
         if (req.method != "POST") return reply({405, "{}", -1});
         auto r = wire::parse_report(req.body);
@@ -141,8 +141,7 @@
 
 std::string Node::status() {
     Json parts = Json::array();
-    for (std::uint32_t k = 0; k < model_.parts().size(); ++k)
-        parts.push_back({{"owner", model_.parts()[k].owner.v}, {"term", model_.parts()[k].term.v}});
+    for (const Part& part : model_.parts()) parts.push_back({{"owner", part.owner.v}, {"term", part.term.v}});
     Json starts = Json::object();
     for (const auto& [job_class, steps] : fleet_.start_times().by_class())
         for (std::size_t i = 0; i < steps.size(); ++i)
--- a/src/app/node.h
+++ b/src/app/node.h
@@ -23,7 +23,7 @@
   public:
     Node(Env& env, const Settings& settings, const Policy& policy);
     void start();
-    void on_request(HttpRequest req, const Reply& reply);
+    void on_request(const HttpRequest& req, const Reply& reply);
     void on_peer(const NodeName& from, const wire::PeerMessage& m);
     const Model& model() const { return model_; }
     const Cluster& cluster() const { return cluster_; }
--- a/src/app/real_env.cpp
+++ b/src/app/real_env.cpp
@@ -5,7 +5,7 @@
 namespace zd {
 
 namespace {
-constexpr std::size_t mib = 1024 * 1024;
+constexpr std::size_t mib = std::size_t{1024} * 1024;
 
 // An answer in memory takes many times its length as JSON: what is too long is read in pages instead
 // (Cluster::watch).
--- a/src/app/real_env.h
+++ b/src/app/real_env.h
@@ -10,7 +10,7 @@
 class RealEnv : public Env {
   public:
     RealEnv(Loop& loop, const Settings& settings, PeerLinks::Handler on_peer);
-    Mono now() override { return loop_.now(); }
+    Mono now() override { return Loop::now(); }
     WallMs wall() override { return Loop::wall(); }
     TimerId after(Duration d, std::function<void()> fn) override { return loop_.after(d, std::move(fn)); }
     void cancel(TimerId id) override { loop_.cancel(id); }
@@ -18,9 +18,9 @@
         HttpClient& client = address == settings_.state   ? state_
                              : address == settings_.cloud ? cloud_
                                                           : workers_;
-        client.request(address, std::move(req), timeout, std::move(done));
+        client.request(address, req, timeout, std::move(done));
     }
-    void send_peer(const NodeName& to, std::string message) override { peers_.send(to, std::move(message)); }
+    void send_peer(const NodeName& to, std::string message) override { peers_.send(to, message); }
     std::mt19937_64& rng() override { return rng_; }
 
   private:
--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -74,6 +74,65 @@
     }
 }
 
+toml::table parse_toml(const std::string& text) {
+    try {
+        return toml::parse(text);
+    } catch (const toml::parse_error& e) {
+        std::ostringstream s;
+        s << "not valid TOML: " << e.description() << " at line " << e.source().begin.line;
+        throw SettingsError(s.str());
+    }
+}
+
+std::vector<std::string> zones_at(const toml::table& root, const std::string& key) {
+    const auto* list = root.at_path(key).as_array();
+    if (list == nullptr || list->empty()) bad(key, "must be a list of zone names");
+    std::vector<std::string> zones;
+    for (const auto& entry : *list) {
+        const auto name = entry.value<std::string>();
+        if (!entry.is_string()) bad(key, "must be a list of zone names");
+        zones.push_back(*name);
+    }
+    return zones;
+}
+
+Team team_from(const toml::table& t) {
+    Team team;
+    team.name = TeamName(text_at(t, "name"));
+    team.cpu = milli(number_at(t, "cpus", 0, 1e9));
+    team.cpu_max = milli(number_at(t, "cpus_max", 0, 1e9));
+    team.gpu = milli(number_at(t, "gpus", 0, 1e9));
+    team.gpu_max = milli(number_at(t, "gpus_max", 0, 1e9));
+    return team;
+}
+
+Objective objective_from(const toml::table& t) {
+    Objective o;
+    o.kind = text_at(t, "kind");
+    o.job_class = t.contains("class") ? text_at(t, "class", true) : "";
+    o.within_s = t.contains("within_s") ? number_at(t, "within_s", 0, 1e9) : 0;
+    o.share = t.contains("share") ? number_at(t, "share", 0, 1) : 0;
+    return o;
+}
+
+// What the platform says of workers, state service, cloud and this machine.
+void read_platform_limits(const toml::table& root, Settings& s) {
+    s.report_s = number_at(root, "params.workers.report_s", 0.1, 3600);
+    s.lease_s = number_at(root, "params.workers.lease_s", 1, 36000);
+    s.gang_wait_s = number_at(root, "params.workers.gang_wait_s", 0, 36000);
+    s.gang_peer_s = number_at(root, "params.workers.gang_peer_s", 0, 36000);
+    s.cancel_s = number_at(root, "params.workers.cancel_s", 1, 36000);
+    s.state_rps = number_at(root, "params.state.rps", 1, 1e6);
+    s.state_write_rps = number_at(root, "params.state.write_rps", 1, 1e6);
+    s.value_kb = number_at(root, "params.state.value_kb", 2, 64);
+    s.txn_ops = count_at(root, "params.state.txn_ops", 4, 10000);
+    s.cloud_rps = number_at(root, "params.cloud.rps", 0.1, 1e6);
+    s.list_lag_s = number_at(root, "params.cloud.list_lag_s", 0, 3600);
+    s.core_share = number_at(root, "params.machine_limits.core_share", 0.001, 1024);
+    s.memory_mb = number_at(root, "params.machine_limits.memory_mb", 16, 1e7);
+    s.max_sockets = count_at(root, "params.machine_limits.max_sockets", 32, 1e7);
+}
+
 }  // namespace
 
 Settings::Sockets Settings::sockets() const {
@@ -98,14 +157,7 @@
 }
 
 Settings parse_settings(const std::string& text) {
-    toml::table root;
-    try {
-        root = toml::parse(text);
-    } catch (const toml::parse_error& e) {
-        std::ostringstream s;
-        s << "not valid TOML: " << e.description() << " at line " << e.source().begin.line;
-        throw SettingsError(s.str());
-    }
+    const toml::table root = parse_toml(text);
     Settings s;
     s.node = NodeName(text_at(root, "node"));
     s.zone = text_at(root, "zone");
@@ -119,45 +171,15 @@
         if (seed.node != s.node) s.seeds.push_back(std::move(seed));
     });
     s.size = count_at(root, "params.size", 1, 1000);
-    const auto* zones = root.at_path("params.zones").as_array();
-    if (zones == nullptr || zones->empty()) bad("params.zones", "must be a list of zone names");
-    for (const auto& z : *zones) {
-        auto v = z.value<std::string>();
-        if (!z.is_string()) bad("params.zones", "must be a list of zone names");
-        s.zones.push_back(*v);
-    }
+    s.zones = zones_at(root, "params.zones");
     s.skew_ms = number_at(root, "params.skew_ms", 0, 1e7);
     each_table(root, "params.teams", [&](const toml::table& t) {
-        Team team;
-        team.name = TeamName(text_at(t, "name"));
-        team.cpu = milli(number_at(t, "cpus", 0, 1e9));
-        team.cpu_max = milli(number_at(t, "cpus_max", 0, 1e9));
-        team.gpu = milli(number_at(t, "gpus", 0, 1e9));
-        team.gpu_max = milli(number_at(t, "gpus_max", 0, 1e9));
+        const Team team = team_from(t);
         s.teams[team.name] = team;
     });
-    each_table(root, "params.objectives", [&](const toml::table& t) {
-        Objective o;
-        o.kind = text_at(t, "kind");
-        o.job_class = t.contains("class") ? text_at(t, "class", true) : "";
-        o.within_s = t.contains("within_s") ? number_at(t, "within_s", 0, 1e9) : 0;
-        o.share = t.contains("share") ? number_at(t, "share", 0, 1) : 0;
-        s.objectives.push_back(o);
-    });
-    s.report_s = number_at(root, "params.workers.report_s", 0.1, 3600);
-    s.lease_s = number_at(root, "params.workers.lease_s", 1, 36000);
-    s.gang_wait_s = number_at(root, "params.workers.gang_wait_s", 0, 36000);
-    s.gang_peer_s = number_at(root, "params.workers.gang_peer_s", 0, 36000);
-    s.cancel_s = number_at(root, "params.workers.cancel_s", 1, 36000);
-    s.state_rps = number_at(root, "params.state.rps", 1, 1e6);
-    s.state_write_rps = number_at(root, "params.state.write_rps", 1, 1e6);
-    s.value_kb = number_at(root, "params.state.value_kb", 2, 64);
-    s.txn_ops = count_at(root, "params.state.txn_ops", 4, 10000);
-    s.cloud_rps = number_at(root, "params.cloud.rps", 0.1, 1e6);
-    s.list_lag_s = number_at(root, "params.cloud.list_lag_s", 0, 3600);
-    s.core_share = number_at(root, "params.machine_limits.core_share", 0.001, 1024);
-    s.memory_mb = number_at(root, "params.machine_limits.memory_mb", 16, 1e7);
-    s.max_sockets = count_at(root, "params.machine_limits.max_sockets", 32, 1e7);
+    each_table(root, "params.objectives",
+               [&](const toml::table& t) { s.objectives.push_back(objective_from(t)); });
+    read_platform_limits(root, s);
     return s;
 }
 
--- a/src/cloud/cloud.cpp
+++ b/src/cloud/cloud.cpp
@@ -39,7 +39,7 @@
 }
 
 void CloudClient::types(std::function<void(std::optional<std::vector<wire::MachineType>>)> done) {
-    submit({"GET", "/flavors", ""}, [done = std::move(done)](HttpResponse h) {
+    submit({"GET", "/flavors", ""}, [done = std::move(done)](const HttpResponse& h) {
         done(h.status == 200 ? wire::parse_types(h.body) : std::nullopt);
     });
 }
@@ -47,7 +47,7 @@
 void CloudClient::list(const std::string& after, std::function<void(std::optional<wire::MachinePage>)> done) {
     std::string path = "/machines?most=500";
     if (!after.empty()) path += "&after=" + after;
-    submit({"GET", path, ""}, [done = std::move(done)](HttpResponse h) {
+    submit({"GET", path, ""}, [done = std::move(done)](const HttpResponse& h) {
         done(h.status == 200 ? wire::parse_machine_page(h.body) : std::nullopt);
     });
 }
@@ -56,7 +56,7 @@
                        bool spot, std::uint32_t count,
                        std::function<void(Rent, std::vector<MachineId>)> done) {
     submit({"POST", "/machines", wire::rent_body(request, type, zone, spot, count)},
-           [done = std::move(done)](HttpResponse h) {
+           [done = std::move(done)](const HttpResponse& h) {
                if (h.status == 200) {
                    auto names = wire::parse_machine_names(h.body);
                    if (names) return done(Rent::ok, std::move(*names));
@@ -70,7 +70,7 @@
 
 void CloudClient::give_back(const std::vector<MachineId>& machines, std::function<void(bool)> done) {
     submit({"POST", "/machines/return", wire::return_body(machines)},
-           [done = std::move(done)](HttpResponse h) { done(h.status == 200); });
+           [done = std::move(done)](const HttpResponse& h) { done(h.status == 200); });
 }
 
 }  // namespace zd
--- a/src/loop/http_client.cpp
+++ b/src/loop/http_client.cpp
@@ -13,7 +13,7 @@
 
 namespace zd {
 namespace {
-constexpr std::size_t read_buffer_bytes = 32 * 1024;
+constexpr std::size_t read_buffer_bytes = std::size_t{32} * 1024;
 constexpr Duration sweep_interval = std::chrono::seconds(2);
 
 std::string serialize(const std::string& address, const HttpRequest& req) {
@@ -48,7 +48,7 @@
 
 HttpClient::HttpClient(Loop& loop, ClientLimits limits) : loop_(loop), limits_(limits) { sweep(); }
 
-void HttpClient::request(const std::string& address, HttpRequest req, Duration timeout, Reply done) {
+void HttpClient::request(const std::string& address, const HttpRequest& req, Duration timeout, Reply done) {
     auto call = std::make_shared<Call>();
     call->done = std::move(done);
     call->text = serialize(address, req);
@@ -133,7 +133,7 @@
     auto c = std::make_shared<Connection>(limits_.response);
     c->address = address;
     c->fd = std::move(fd);
-    c->since = loop_.now();
+    c->since = Loop::now();
     hosts_[address].open.push_back(c);
     ++open_connections_;
     loop_.watch(c->fd.get(), EPOLLOUT, [this, c](std::uint32_t events) { on_event(c, events); });
@@ -144,7 +144,7 @@
     c->call->connection = c;
     c->sent = 0;
     c->parser.reset();
-    c->since = loop_.now();
+    c->since = Loop::now();
     if (c->connected) on_event(c, EPOLLOUT);
 }
 
@@ -202,7 +202,7 @@
     HttpResponse response{c->parser.status(), std::move(c->parser.body), -1};
     const bool keep_alive = c->parser.keep_alive();
     c->parser.reset();
-    c->since = loop_.now();
+    c->since = Loop::now();
     call->connection.reset();
     if (!keep_alive) drop(c);
     finish(call, std::move(response));
@@ -226,20 +226,21 @@
 
 void HttpClient::drop(const ConnectionPtr& c) {
     if (!c->fd.valid()) return;
-    const ConnectionPtr keep = c;  // `c` may be the host's own
-    loop_.forget(keep->fd.get());
-    std::erase(hosts_[keep->address].open, keep);
+    const std::string address = c->address;
+    std::erase(hosts_[address].open, c);
     --open_connections_;
-    keep->fd.reset();
-    keep->call = nullptr;
-    loop_.after(Duration(0), [this, address = keep->address] {
+    c->call = nullptr;
+    // Nothing of `c` is used from here on: what is forgotten may have owned it.
+    const Fd fd = std::move(c->fd);
+    loop_.forget(fd.get());
+    loop_.after(Duration(0), [this, address] {
         pump(address);
         pump_next_starved();
     });
 }
 
 void HttpClient::sweep() {
-    const Mono now = loop_.now();
+    const Mono now = Loop::now();
     std::vector<ConnectionPtr> late;
     for (const auto& [address, host] : hosts_)
         for (const auto& c : host.open)
--- a/src/loop/http_client.h
+++ b/src/loop/http_client.h
@@ -20,7 +20,7 @@
     /// Requests waiting for one address.
     std::size_t queue = 512;
     /// Bytes of one response's body.
-    std::size_t response = 8 * 1024 * 1024;
+    std::size_t response = std::size_t{8} * 1024 * 1024;
     Duration idle = std::chrono::seconds(20);
 };
 
@@ -34,7 +34,7 @@
 
     /// Sends a request and calls `done` exactly once, from the loop: with the response, or with status 0 when
     /// there is none within `timeout`.
-    void request(const std::string& address, HttpRequest req, Duration timeout, Reply done);
+    void request(const std::string& address, const HttpRequest& req, Duration timeout, Reply done);
 
   private:
     struct Call;
--- a/src/loop/http_message.h
+++ b/src/loop/http_message.h
@@ -10,9 +10,9 @@
 namespace zd {
 
 /// Largest request body that the server accepts, in bytes.
-constexpr std::size_t max_request_body = 64 * 1024;
+constexpr std::size_t max_request_body = std::size_t{64} * 1024;
 /// Largest request head (request line and headers) that the server accepts, in bytes.
-constexpr std::size_t max_request_head = 8 * 1024;
+constexpr std::size_t max_request_head = std::size_t{8} * 1024;
 
 /// Parses one direction of a connection, message by message, on top of http-parser.
 class HttpMessageParser {
--- a/src/loop/http_server.cpp
+++ b/src/loop/http_server.cpp
@@ -16,7 +16,7 @@
 namespace zd {
 namespace {
 constexpr int max_accepts_per_event = 64;
-constexpr std::size_t read_buffer_bytes = 16 * 1024;
+constexpr std::size_t read_buffer_bytes = std::size_t{16} * 1024;
 constexpr Duration sweep_interval = std::chrono::milliseconds(250);
 constexpr Duration handling_limit = std::chrono::seconds(30);
 
@@ -103,7 +103,7 @@
     ::setsockopt(raw, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof enabled);
     auto c = std::make_shared<Connection>();
     c->fd = std::move(fd);
-    c->since = loop_.now();
+    c->since = Loop::now();
     connections_[raw] = c;
     loop_.watch(raw, EPOLLIN, [this, c](std::uint32_t events) { on_event(c, events); });
 }
@@ -125,7 +125,7 @@
     ConnectionPtr longest;
     for (const auto& [fd, c] : connections_)
         if (c->wait == Connection::Wait::idle && (!longest || c->since < longest->since)) longest = c;
-    if (!longest || loop_.now() - longest->since < limits_.evict_after) return false;
+    if (!longest || Loop::now() - longest->since < limits_.evict_after) return false;
     close(longest);
     return true;
 }
@@ -145,7 +145,7 @@
 }
 
 void HttpServer::sweep() {
-    const Mono now = loop_.now();
+    const Mono now = Loop::now();
     std::vector<ConnectionPtr> late;
     for (const auto& [fd, c] : connections_)
         if (now - c->since > wait_limit(*c)) late.push_back(c);
@@ -176,7 +176,7 @@
 
 void HttpServer::parse(const ConnectionPtr& c) {
     if (c->in.empty()) return;
-    if (c->wait == Connection::Wait::idle) c->begin_wait(Connection::Wait::reading, loop_.now());
+    if (c->wait == Connection::Wait::idle) c->begin_wait(Connection::Wait::reading, Loop::now());
     std::size_t used = 0;
     const auto state = c->parser.feed(c->in, used);
     c->in.erase(0, std::min(used, c->in.size()));
@@ -194,7 +194,7 @@
 
 void HttpServer::handle(const ConnectionPtr& c) {
     c->busy = true;
-    c->begin_wait(Connection::Wait::handling, loop_.now());
+    c->begin_wait(Connection::Wait::handling, Loop::now());
     const bool keep_alive = c->parser.keep_alive();
     HttpRequest request{c->parser.method, c->parser.target, std::move(c->parser.body)};
     c->parser.reset();
@@ -212,7 +212,7 @@
     c->closing = !keep_alive;
     c->out = serialize(r, keep_alive);
     c->sent = 0;
-    c->begin_wait(Connection::Wait::writing, loop_.now());
+    c->begin_wait(Connection::Wait::writing, Loop::now());
     flush(c);
 }
 
@@ -234,7 +234,7 @@
     c->out.shrink_to_fit();
     if (c->closing) return close(c);
     loop_.change(c->fd.get(), EPOLLIN);
-    c->begin_wait(Connection::Wait::idle, loop_.now());
+    c->begin_wait(Connection::Wait::idle, Loop::now());
     if (c->in.empty()) return;
     loop_.after(Duration(0), [this, c] {
         if (c->fd.valid() && !c->busy) parse(c);
@@ -243,11 +243,11 @@
 
 void HttpServer::close(const ConnectionPtr& c) {
     if (!c->fd.valid()) return;
-    const ConnectionPtr keep = c;  // `c` may be the map's own
-    const int raw = keep->fd.get();
-    loop_.forget(raw);
-    connections_.erase(raw);
-    keep->fd.reset();
+    // Nothing of `c` is used from here on: what is forgotten may have owned it.
+    Fd fd = std::move(c->fd);
+    loop_.forget(fd.get());
+    connections_.erase(fd.get());
+    fd.reset();
     resume_accepting();
 }
 
--- a/src/loop/loop.cpp
+++ b/src/loop/loop.cpp
@@ -6,10 +6,10 @@
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
-#include <time.h>
 #include <unistd.h>
 
 #include <algorithm>
+#include <ctime>
 #include <stdexcept>
 #include <vector>
 
--- a/src/loop/loop.h
+++ b/src/loop/loop.h
@@ -48,7 +48,7 @@
     using TimerId = std::uint64_t;
     using Handler = std::function<void(std::uint32_t events)>;
     Loop();
-    Mono now();
+    static Mono now();
     static WallMs wall();
     void watch(int fd, std::uint32_t events, Handler handler);
     void change(int fd, std::uint32_t events);
--- a/src/loop/peers.cpp
+++ b/src/loop/peers.cpp
@@ -13,7 +13,7 @@
 
 namespace zd {
 namespace {
-constexpr std::size_t most_unsent = 1024 * 1024;
+constexpr std::size_t most_unsent = std::size_t{1024} * 1024;
 constexpr Duration dial_limit = std::chrono::milliseconds(1500);
 // A link that makes no progress for this long is given up: after a cut, a fresh one gets through sooner.
 constexpr Duration stuck_limit = std::chrono::seconds(3);
@@ -28,7 +28,7 @@
     loop_.watch(listener_.get(), EPOLLIN, [this](std::uint32_t) { accept_all(); });
 }
 
-void PeerLinks::send(const NodeName& to, std::string frame) {
+void PeerLinks::send(const NodeName& to, const std::string& frame) {
     auto it = out_.find(to);
     if (it == out_.end()) return;
     Out& o = it->second;
@@ -41,7 +41,7 @@
         return;
     }
     o.dropping = false;
-    Mono now = loop_.now();
+    Mono now = Loop::now();
     if (o.fd.valid() && now - o.since > (o.connected ? stuck_limit : dial_limit) &&
         (!o.connected || !o.buffer.empty()))
         hang_up(o);
@@ -57,7 +57,7 @@
 
 void PeerLinks::dial(const NodeName& to) {
     Out& o = out_[to];
-    o.since = loop_.now();
+    o.since = Loop::now();
     o.connected = false;
     o.buffer = wire::encode(wire::Hello{settings_.node, 0});
     o.fd = start_connect(o.address);
@@ -90,7 +90,7 @@
             return;
         }
         o.buffer.erase(0, static_cast<std::size_t>(n));
-        o.since = loop_.now();
+        o.since = Loop::now();
     }
     loop_.change(o.fd.get(), EPOLLIN);
 }
@@ -101,7 +101,7 @@
     o.fd.reset();
     o.connected = false;
     o.buffer.clear();
-    o.since = loop_.now();
+    o.since = Loop::now();
 }
 
 void PeerLinks::accept_all() {
@@ -163,10 +163,10 @@
 
 void PeerLinks::close(const std::shared_ptr<In>& in) {
     if (!in->fd.valid()) return;
-    auto keep = in;
-    loop_.forget(in->fd.get());
-    in_.erase(in->fd.get());
-    keep->fd.reset();
+    // Nothing of `in` is used from here on: what is forgotten may have owned it.
+    const Fd fd = std::move(in->fd);
+    loop_.forget(fd.get());
+    in_.erase(fd.get());
 }
 
 }  // namespace zd
--- a/src/loop/peers.h
+++ b/src/loop/peers.h
@@ -16,7 +16,7 @@
   public:
     using Handler = std::function<void(const NodeName& from, wire::PeerMessage)>;
     PeerLinks(Loop& loop, const Settings& settings, Handler handler);
-    void send(const NodeName& to, std::string frame);
+    void send(const NodeName& to, const std::string& frame);
 
   private:
     struct Out {
--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -10,24 +10,25 @@
 namespace zd {
 namespace {
 
-constexpr std::size_t most_memory = 4 * 1024 * 1024;
+constexpr std::size_t most_memory = std::size_t{4} * 1024 * 1024;
 constexpr int most_steps = 2'000'000;
-constexpr std::size_t most_script = 256 * 1024;
+constexpr std::size_t most_script = std::size_t{256} * 1024;
 
 struct Bound {
     std::size_t used = 0;
 };
 
+// Lua's allocator: an interface like realloc's.
 void* bounded_alloc(void* ud, void* ptr, std::size_t old_size, std::size_t new_size) {
     auto* b = static_cast<Bound*>(ud);
     std::size_t held = ptr != nullptr ? old_size : 0;
     if (new_size == 0) {
         b->used -= held;
-        std::free(ptr);  // NOLINT: Lua's allocator interface is realloc's
+        std::free(ptr);
         return nullptr;
     }
     if (new_size > held && b->used + (new_size - held) > most_memory) return nullptr;
-    void* p = std::realloc(ptr, new_size);  // NOLINT
+    void* p = std::realloc(ptr, new_size);
     if (p != nullptr) b->used += new_size - held;
     return p;
 }
@@ -48,6 +49,13 @@
     {"preempt_loss_s", &Policy::preempt_loss_s, 0, 86400},
 };
 
+// The setting of this name; throws when there is none.
+const Field& field_named(const std::string& key, const std::string& script) {
+    for (const auto& field : fields)
+        if (key == field.name) return field;
+    throw PolicyError(script + ": unknown setting '" + key + "'");
+}
+
 }  // namespace
 
 Policy parse_policy(const std::string& script, const std::string& name) {
@@ -74,18 +82,15 @@
     for (lua_pushnil(L); lua_next(L, -2) != 0; lua_pop(L, 1)) {
         if (lua_type(L, -2) != LUA_TSTRING) throw PolicyError(name + ": keys must be names of settings");
         std::string key = lua_tostring(L, -2);
-        const Field* field = nullptr;
-        for (const auto& f : fields)
-            if (key == f.name) field = &f;
-        if (field == nullptr) throw PolicyError(name + ": unknown setting '" + key + "'");
+        const Field& field = field_named(key, name);
         double v = lua_type(L, -1) == LUA_TNUMBER ? lua_tonumber(L, -1) : std::nan("");
-        if (!(v >= field->low && v <= field->high)) {
+        if (!(v >= field.low && v <= field.high)) {
             std::ostringstream s;
-            s << name << ": setting '" << key << "' must be a number from " << field->low << " to "
-              << field->high;
+            s << name << ": setting '" << key << "' must be a number from " << field.low << " to "
+              << field.high;
             throw PolicyError(s.str());
         }
-        p.*(field->at) = v;
+        p.*(field.at) = v;
     }
     return p;
 }
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -172,7 +172,11 @@
 }
 
 void StoreClient::get(const std::string& key, Urgency u, std::function<void(GetResult)> done) {
-    submit(u, {{"GET", "/store/" + key, ""}, 0, normal_timeout, {}, [done = std::move(done)](HttpResponse h) {
+    submit(u, {{"GET", "/store/" + key, ""},
+               0,
+               normal_timeout,
+               {},
+               [done = std::move(done)](const HttpResponse& h) {
                    GetResult r;
                    r.outcome = outcome_of(h.status);
                    Json j = parsed(h, r.outcome);
@@ -193,7 +197,7 @@
     if (!after.empty()) path += "&after=" + after;
     submit(
         Urgency::lease,
-        {{"GET", path, ""}, 0, seconds(4), {}, [done = std::move(done)](HttpResponse h) {
+        {{"GET", path, ""}, 0, seconds(4), {}, [done = std::move(done)](const HttpResponse& h) {
              ListResult r;
              r.outcome = outcome_of(h.status);
              Json j = parsed(h, r.outcome);
@@ -208,10 +212,11 @@
 }
 
 bool StoreClient::fits(const Txn& txn) const {
-    if (txn.writes.size() > settings_.txn_ops || txn.conditions.size() > 4 * settings_.txn_ops) return false;
-    for (const auto& w : txn.writes)
-        if (w.value && static_cast<double>(w.value->dump().size()) > settings_.value_kb * 1024) return false;
-    return true;
+    const std::size_t max_writes = settings_.txn_ops;
+    if (txn.writes.size() > max_writes || txn.conditions.size() > 4 * max_writes) return false;
+    return std::all_of(txn.writes.begin(), txn.writes.end(), [&](const Write& w) {
+        return !w.value || static_cast<double>(w.value->dump().size()) <= settings_.value_kb * 1024;
+    });
 }
 
 void StoreClient::commit(const Txn& txn, Urgency u, std::function<void(CommitResult)> done) {
@@ -231,7 +236,7 @@
                static_cast<double>(txn.writes.size()),
                normal_timeout,
                {},
-               [done = std::move(done)](HttpResponse h) {
+               [done = std::move(done)](const HttpResponse& h) {
                    CommitResult r;
                    r.outcome = outcome_of(h.status);
                    Json j = parsed(h, r.outcome);
@@ -256,7 +261,7 @@
     requests_.take(1);
     ++counts_.watches;
     env_.http(settings_.state, {"GET", path, ""}, hold + (at_once ? normal_timeout : seconds(5)),
-              [this, done = std::move(done)](HttpResponse h) {
+              [this, done = std::move(done)](const HttpResponse& h) {
                   counts_.news_bytes += h.body.size();
                   ListResult r;
                   r.outcome = outcome_of(h.status);
@@ -285,7 +290,7 @@
                             0,
                             normal_timeout,
                             {},
-                            [done = std::move(done)](HttpResponse h) {
+                            [done = std::move(done)](const HttpResponse& h) {
                                 Outcome o = outcome_of(h.status);
                                 Json j = parsed(h, o);
                                 std::uint64_t id = revision_in(j, "tether").v;
@@ -299,7 +304,7 @@
                             0,
                             normal_timeout,
                             {},
-                            [done = std::move(done)](HttpResponse h) { done(outcome_of(h.status)); }});
+                            [done = std::move(done)](const HttpResponse& h) { done(outcome_of(h.status)); }});
 }
 
 }  // namespace zd
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -46,6 +46,7 @@
     Revision revision;
     std::vector<std::string> failed;
 };
+// NOLINTNEXTLINE(bugprone-exception-escape): Json's move, which is noexcept, is taken to throw.
 struct GetResult {
     Outcome outcome = Outcome::unknown;
     Json value;
--- a/src/wire/json_api.cpp
+++ b/src/wire/json_api.cpp
@@ -315,8 +315,8 @@
 }
 
 std::string rent_body(const std::string& request, const std::string& type, const std::string& zone, bool spot,
-                      std::uint32_t n) {
-    return Json{{"hire", request}, {"breed", type}, {"field", zone}, {"loaners", spot}, {"how_many", n}}
+                      std::uint32_t count) {
+    return Json{{"hire", request}, {"breed", type}, {"field", zone}, {"loaners", spot}, {"how_many", count}}
         .dump();
 }
 
--- a/src/wire/peer.cpp
+++ b/src/wire/peer.cpp
@@ -117,124 +117,200 @@
     std::string_view in_;
 };
 
-// One list of fields serves both directions; M is const when writing.
-template <class A, class M>
+// One list of fields for each kind of struct serves both directions; M is const when writing.
+template <class M, class T>
+concept MaybeConst = std::is_same_v<std::remove_const_t<M>, T>;
+
+template <class A, MaybeConst<RoundId> M>
 void fields(A& a, M& m) {
-    using T = std::remove_const_t<M>;
-    if constexpr (std::is_same_v<T, RoundId>) {
-        a(m.relay);
-        a(m.number);
-    } else if constexpr (std::is_same_v<T, Hello>) {
-        a(m.node);
-        a(m.incarnation);
-    } else if constexpr (std::is_same_v<T, MachineBeat>) {
-        a(m.id);
-        a(m.type);
-        a(m.zone);
-        a(m.address);
-        a(m.spot);
-        a(m.usable);
-        a(m.silent);
-        a(m.session);
-        a(m.busy_tasks);
-        a(m.idle_ms);
-        a(m.silent_ms);
-    } else if constexpr (std::is_same_v<T, Vouch>) {
-        a(m.life);
-        a(m.stamp);
-        a(m.echo_life);
-        a(m.echo);
-        a(m.behind);
-        a(m.whole);
-        a(m.cancelled);
-    } else if constexpr (std::is_same_v<T, CalledOff>) {
-        a(m.job);
-    } else if constexpr (std::is_same_v<T, Beat>) {
-        a(m.vouch);
-        a(m.store_ok);
-        a(m.seen);
-        a(m.write_demand);
-        a(m.machines);
-    } else if constexpr (std::is_same_v<T, Ask>) {
-        a(m.round);
-        a(m.job);
-        a(m.gatherer);
-        a(m.scorers);
-        a(m.need);
-        a(m.image);
-        a(m.rank);
-        a(m.tasks);
-    } else if constexpr (std::is_same_v<T, Offer>) {
-        a(m.machine);
-        a(m.zone);
-        a(m.score);
-    } else if constexpr (std::is_same_v<T, Offers>) {
-        a(m.round);
-        a(m.job);
-        a(m.scorer);
-        a(m.scorers);
-        a(m.whole);
-        a(m.tasks);
-        a(m.offers);
-    } else if constexpr (std::is_same_v<T, Assignment>) {
-        a(m.task);
-        a(m.machine);
-    } else if constexpr (std::is_same_v<T, Verdict>) {
-        a(m.round);
-        a(m.job);
-        a(m.yes);
-    } else if constexpr (std::is_same_v<T, Unplaced>) {
-        a(m.round);
-        a(m.job);
-        a(m.tasks);
-    } else if constexpr (std::is_same_v<T, Drain> || std::is_same_v<T, Drained>) {
-        a(m.machine);
-    } else if constexpr (std::is_same_v<T, ReservedMachine>) {
-        a(m.machine);
-        a(m.job_class);
-        a(m.rank);
-        a(m.save_ms);
-        a(m.job);
-    } else if constexpr (std::is_same_v<T, Preempt>) {
-        a(m.job);
-        a(m.task);
-        a(m.attempt);
-    } else if constexpr (std::is_same_v<T, TaskOp>) {
-        a(m.event);
-        a(m.task);
-        a(m.attempt);
-        a(m.machine);
-        a(m.zone);
-        a(m.term);
-        a(m.ticket);
-    } else if constexpr (std::is_same_v<T, Settle>) {
-        a(m.job);
-        a(m.ops);
-    } else if constexpr (std::is_same_v<T, SettledOp>) {
-        a(m.ticket);
-        a(m.done);
-    } else if constexpr (std::is_same_v<T, Record>) {
-        a(m.key);
-        a(m.value);
-        a(m.version);
-    } else if constexpr (std::is_same_v<T, Settled>) {
-        a(m.ops);
-        a(m.records);
-    } else if constexpr (std::is_same_v<T, Freed>) {
-        a(m.type);
-        a(m.room);
-    } else if constexpr (std::is_same_v<T, SightedMachine>) {
-        a(m.id);
-        a(m.address);
-    } else if constexpr (std::is_same_v<T, Reserve>) {
-        a(m.first);
-        a(m.machines);
-    } else if constexpr (std::is_same_v<T, Sighted>) {
-        a(m.machines);
-    } else {
-        static_assert(std::is_same_v<T, Gone>);
-        a(m.machines);
-    }
+    a(m.relay);
+    a(m.number);
+}
+
+template <class A, MaybeConst<Hello> M>
+void fields(A& a, M& m) {
+    a(m.node);
+    a(m.incarnation);
+}
+
+template <class A, MaybeConst<MachineBeat> M>
+void fields(A& a, M& m) {
+    a(m.id);
+    a(m.type);
+    a(m.zone);
+    a(m.address);
+    a(m.spot);
+    a(m.usable);
+    a(m.silent);
+    a(m.session);
+    a(m.busy_tasks);
+    a(m.idle_ms);
+    a(m.silent_ms);
+}
+
+template <class A, MaybeConst<Vouch> M>
+void fields(A& a, M& m) {
+    a(m.life);
+    a(m.stamp);
+    a(m.echo_life);
+    a(m.echo);
+    a(m.behind);
+    a(m.whole);
+    a(m.cancelled);
+}
+
+template <class A, MaybeConst<CalledOff> M>
+void fields(A& a, M& m) {
+    a(m.job);
+}
+
+template <class A, MaybeConst<Beat> M>
+void fields(A& a, M& m) {
+    a(m.vouch);
+    a(m.store_ok);
+    a(m.seen);
+    a(m.write_demand);
+    a(m.machines);
+}
+
+template <class A, MaybeConst<Ask> M>
+void fields(A& a, M& m) {
+    a(m.round);
+    a(m.job);
+    a(m.gatherer);
+    a(m.scorers);
+    a(m.need);
+    a(m.image);
+    a(m.rank);
+    a(m.tasks);
+}
+
+template <class A, MaybeConst<Offer> M>
+void fields(A& a, M& m) {
+    a(m.machine);
+    a(m.zone);
+    a(m.score);
+}
+
+template <class A, MaybeConst<Offers> M>
+void fields(A& a, M& m) {
+    a(m.round);
+    a(m.job);
+    a(m.scorer);
+    a(m.scorers);
+    a(m.whole);
+    a(m.tasks);
+    a(m.offers);
+}
+
+template <class A, MaybeConst<Assignment> M>
+void fields(A& a, M& m) {
+    a(m.task);
+    a(m.machine);
+}
+
+template <class A, MaybeConst<Verdict> M>
+void fields(A& a, M& m) {
+    a(m.round);
+    a(m.job);
+    a(m.yes);
+}
+
+template <class A, MaybeConst<Unplaced> M>
+void fields(A& a, M& m) {
+    a(m.round);
+    a(m.job);
+    a(m.tasks);
+}
+
+template <class A, MaybeConst<Drain> M>
+void fields(A& a, M& m) {
+    a(m.machine);
+}
+
+template <class A, MaybeConst<Drained> M>
+void fields(A& a, M& m) {
+    a(m.machine);
+}
+
+template <class A, MaybeConst<ReservedMachine> M>
+void fields(A& a, M& m) {
+    a(m.machine);
+    a(m.job_class);
+    a(m.rank);
+    a(m.save_ms);
+    a(m.job);
+}
+
+template <class A, MaybeConst<Preempt> M>
+void fields(A& a, M& m) {
+    a(m.job);
+    a(m.task);
+    a(m.attempt);
+}
+
+template <class A, MaybeConst<TaskOp> M>
+void fields(A& a, M& m) {
+    a(m.event);
+    a(m.task);
+    a(m.attempt);
+    a(m.machine);
+    a(m.zone);
+    a(m.term);
+    a(m.ticket);
+}
+
+template <class A, MaybeConst<Settle> M>
+void fields(A& a, M& m) {
+    a(m.job);
+    a(m.ops);
+}
+
+template <class A, MaybeConst<SettledOp> M>
+void fields(A& a, M& m) {
+    a(m.ticket);
+    a(m.done);
+}
+
+template <class A, MaybeConst<Record> M>
+void fields(A& a, M& m) {
+    a(m.key);
+    a(m.value);
+    a(m.version);
+}
+
+template <class A, MaybeConst<Settled> M>
+void fields(A& a, M& m) {
+    a(m.ops);
+    a(m.records);
+}
+
+template <class A, MaybeConst<Freed> M>
+void fields(A& a, M& m) {
+    a(m.type);
+    a(m.room);
+}
+
+template <class A, MaybeConst<SightedMachine> M>
+void fields(A& a, M& m) {
+    a(m.id);
+    a(m.address);
+}
+
+template <class A, MaybeConst<Reserve> M>
+void fields(A& a, M& m) {
+    a(m.first);
+    a(m.machines);
+}
+
+template <class A, MaybeConst<Sighted> M>
+void fields(A& a, M& m) {
+    a(m.machines);
+}
+
+template <class A, MaybeConst<Gone> M>
+void fields(A& a, M& m) {
+    a(m.machines);
 }
 
 template <std::size_t I = 0>
--- a/src/wire/peer.h
+++ b/src/wire/peer.h
@@ -11,7 +11,7 @@
 namespace zd::wire {
 
 constexpr std::uint8_t peer_version = 4;
-constexpr std::size_t max_peer_frame = 256 * 1024;
+constexpr std::size_t max_peer_frame = std::size_t{256} * 1024;
 constexpr std::size_t peer_header = 4;  // length of what follows, as u32
 
 // Names a scatter round: the relay that began it and that relay's own count.
