--- a/src/loop/http_client.h
+++ b/src/loop/http_client.h
@@ -54,7 +54,7 @@
     void open(const std::string& address);
     void assign(const ConnectionPtr& c, CallPtr call);
     void on_event(const ConnectionPtr& c, std::uint32_t events);
-    bool finish_connect(Connection& c);
+    static bool finish_connect(Connection& c);
     bool send_request(Connection& c);
     void receive(const ConnectionPtr& c);
     void complete(const ConnectionPtr& c);
