--- a/tests/units_test.cpp
+++ b/tests/units_test.cpp
@@ -9,6 +9,8 @@
 #include "policy/policy.h"
 #include "sched/logic.h"
 #include "store/store.h"
+#include "supply/arrivals.h"
+#include "supply/demand.h"
 #include "supply/plan.h"
 #include "wire/peer.h"
 
@@ -258,6 +260,71 @@
     EXPECT_TRUE(p.wanted.contains(MachineId("host-1")));
 }
 
+Job submitted(const std::string& id, wire::Shape shape, TaskIndex tasks, const std::string& image,
+              WallMs at) {
+    Job job;
+    job.spec.id = JobId(id);
+    job.spec.shape = shape;
+    job.spec.tasks = tasks;
+    job.spec.image = image;
+    job.submitted = at;
+    return job;
+}
+
+// A gang asks for a machine for each member, any other job for one; a job counts once, and for four minutes.
+TEST(ArrivalStatistics, CountsMachinesWithinItsWindow) {
+    supply::ArrivalStatistics arrivals;
+    EXPECT_TRUE(arrivals.empty());
+    const Job gang = submitted("job-1", wire::Shape::gang, 6, "a", {1'000});
+    arrivals.record(gang);
+    arrivals.record(gang);
+    arrivals.record(submitted("job-2", wire::Shape::array, 100, "b", {51'000}));
+    arrivals.record(submitted("job-3", wire::Shape::array, 100, "b", {21'000}));
+    EXPECT_EQ(arrivals.latest_spec().id, JobId("job-2"));
+    EXPECT_DOUBLE_EQ(arrivals.machines_per_s({101'000}), 8.0 / 100);
+    EXPECT_DOUBLE_EQ(arrivals.machines_per_s({2'000}), 8.0 / 30);  // over 30 s at least
+    EXPECT_DOUBLE_EQ(arrivals.image_shares().at("a"), 0.75);
+    EXPECT_DOUBLE_EQ(arrivals.image_shares().at("b"), 0.25);
+    arrivals.expire({241'000});
+    EXPECT_EQ(arrivals.image_shares().size(), 2U);
+    arrivals.expire({241'001});
+    EXPECT_EQ(arrivals.image_shares().size(), 1U);
+    EXPECT_DOUBLE_EQ(arrivals.machines_per_s({241'001}), 2.0 / 240);
+    arrivals.expire({300'000});
+    EXPECT_TRUE(arrivals.empty());
+}
+
+// Only of many demands are those alike joined; what may go elsewhere stays apart.
+TEST(SupplyDemand, MergesWhatMayGoToTheSameMachines) {
+    wire::JobSpec any;
+    any.need = {1000, 0, 1000};
+    wire::JobSpec in_zone = any, of_type = any, spot = any, urgent = any, large = any;
+    in_zone.zone = "a";
+    of_type.types = {{"small"}};
+    spot.spot = true;
+    urgent.rank = wire::Rank::critical;
+    large.need.cpu = 2000;
+    const std::vector<const wire::JobSpec*> specs{&any, &in_zone, &of_type, &spot, &urgent, &large};
+    std::vector<supply::Demand> demands;
+    for (int i = 0; i < 10; ++i)
+        for (const auto* spec : specs) demands.push_back({spec, {}, 2, 10.0 + i, 20.0 - 0.5 * i});
+    EXPECT_EQ(supply::merge(demands).size(), 60U);
+    for (const auto* spec : specs) demands.push_back({spec, "b", 2, 10, 20});
+    const auto merged = supply::merge(demands);
+    // Patience of 20 s, of 10 to 20 s, and the pinned ones.
+    ASSERT_EQ(merged.size(), 3 * specs.size());
+    for (std::size_t i = 0; i < specs.size(); ++i) {
+        EXPECT_EQ(merged[i].spec, specs[i]);
+        EXPECT_EQ(merged[i].tasks, 2U);
+        const auto& joined = merged[specs.size() + i];
+        EXPECT_EQ(joined.spec, specs[i]);
+        EXPECT_EQ(joined.tasks, 18U);
+        EXPECT_DOUBLE_EQ(joined.run_s, 15);
+        EXPECT_DOUBLE_EQ(joined.patience_s, 15.5);
+        EXPECT_EQ(merged[2 * specs.size() + i].pin, "b");
+    }
+}
+
 // The world as a list of what was asked of it.
 class Asked : public Env {
   public:
