Findings of the linter mended in jobs, fleet and cluster; orders and offers in short functions

Fleet::orders_for and on_ask are split, the watch and the shared read take news in one function, and the relay's kinds are typed values instead of joined text. Machines are prompted only where a report is expected more than two seconds from now: with reports each 1.5 or 2 s there is nothing to gain.

--- a/src/cluster/cluster.cpp
+++ b/src/cluster/cluster.cpp
@@ -226,33 +226,39 @@
     return std::clamp(seconds(pause), millis(30), millis(500));
 }
 
+// What a watch sent at `sent` answered: the model is complete up to that moment.
+void Cluster::take_news(const ListResult& news, Mono sent) {
+    for (const auto& item : news.items) model_.apply(item);
+    model_.seen = std::max(model_.seen, news.revision);
+    if (on_read) on_read(sent);
+}
+
 void Cluster::watch() {
     const bool asked_for = !reads_.empty();
     watch_open_ = true;
-    store_.watch("z/", model_.seen, stale_ || asked_for,
-                 [this, run = watch_run_, sent = env_.now(), asked_for, before = next_read_](ListResult r) {
-                     if (run != watch_run_) return;
-                     watch_open_ = false;
-                     const bool asked_anew = std::exchange(watch_now_, false) && stale_;
-                     if (r.too_old) return reload();
-                     if (r.outcome != Outcome::ok) {
-                         // Others are served: the answer may be longer than we take. Its pages are not.
-                         if (store_.reachable() && ++watch_fails_ >= 3) return reload();
-                         env_.after(millis(200), [this, run] {
-                             if (run == watch_run_) watch();
-                         });
-                         return;
-                     }
-                     watch_fails_ = 0;
-                     for (const auto& i : r.items) model_.apply(i);
-                     model_.seen = std::max(model_.seen, r.revision);
-                     if (on_read) on_read(sent);
-                     if (asked_anew) stale_ = false;
-                     answer_reads(before);
-                     env_.after(r.items.empty() && !asked_for ? millis(1) : watch_pause(), [this, run] {
-                         if (run == watch_run_) watch();
-                     });
-                 });
+    store_.watch(
+        "z/", model_.seen, stale_ || asked_for,
+        [this, run = watch_run_, sent = env_.now(), asked_for, before = next_read_](const ListResult& r) {
+            if (run != watch_run_) return;
+            watch_open_ = false;
+            const bool asked_anew = std::exchange(watch_now_, false) && stale_;
+            if (r.too_old) return reload();
+            if (r.outcome != Outcome::ok) {
+                // Others are served: the answer may be longer than we take. Its pages are not.
+                if (store_.reachable() && ++watch_fails_ >= 3) return reload();
+                env_.after(millis(200), [this, run] {
+                    if (run == watch_run_) watch();
+                });
+                return;
+            }
+            watch_fails_ = 0;
+            take_news(r, sent);
+            if (asked_anew) stale_ = false;
+            answer_reads(before);
+            env_.after(r.items.empty() && !asked_for ? millis(1) : watch_pause(), [this, run] {
+                if (run == watch_run_) watch();
+            });
+        });
 }
 
 // Asked one by one, the questions of some hundred users took the whole request budget of the state service,
@@ -275,11 +281,9 @@
         if (reads_.empty() || loading_ || !watch_open_) return;
         last_read_ = env_.now();
         store_.watch("z/", model_.seen, true,
-                     [this, run = watch_run_, sent = env_.now(), before = next_read_](ListResult r) {
+                     [this, run = watch_run_, sent = env_.now(), before = next_read_](const ListResult& r) {
                          if (run == watch_run_ && r.outcome == Outcome::ok && !r.too_old) {
-                             for (const auto& i : r.items) model_.apply(i);
-                             model_.seen = std::max(model_.seen, r.revision);
-                             if (on_read) on_read(sent);
+                             take_news(r, sent);
                              answer_reads(before);
                          }
                          if (!reads_.empty()) read_soon();
--- a/src/cluster/cluster.h
+++ b/src/cluster/cluster.h
@@ -70,6 +70,7 @@
     void renew();
     void load(const std::string& after, Revision from, Mono begun);
     void watch();
+    void take_news(const ListResult& news, Mono sent);
     void watch_presence();
     void read_soon();
     void answer_reads(std::uint64_t before);
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -17,7 +17,8 @@
 constexpr std::size_t few_machines = 5;                         // whose silence together is no chance
 constexpr std::size_t most_prompts = 64;                        // under way at once
 constexpr double prompt_every_leases = 0.51;                    // a worker heeds one in half of a lease
-constexpr Duration worth_prompting = std::chrono::seconds(1);   // a check-in expected sooner is waited for
+constexpr Duration worth_prompting = std::chrono::seconds(2);   // a check-in expected sooner is waited for
+constexpr double save_margin_s = 3;                             // beyond what a task needs to save
 constexpr int most_orders = 2;  // answers with the same run before it is given up
 // Two clocks may each be off by 0.05%; the rest covers the timer's own step.
 Duration surely_lapsed(double lease_s) { return seconds(lease_s * 1.002) + millis(100); }
@@ -80,7 +81,7 @@
     auto orders = orders_for(r.machine, m, r, *mine);
     m.answered_seq = r.age.seq;
     if (!m.ended.empty() || r.tasks.empty()) tell_freed(r.machine, m);
-    if (!orders.empty() || !worth_waiting(r.machine, m, r)) return renew(r, *mine, std::move(orders), reply);
+    if (!orders.empty() || !worth_waiting(r.machine, m, r)) return renew(r, *mine, orders, reply);
     // What it reports (an end, or room) will bring orders in a moment, and its next check-in is a report
     // interval away: short tasks lost a tenth of their machine to that wait.
     held_[r.machine] = {r, reply, env_.after(hold_answer, [this, id = r.machine] { answer(id); })};
@@ -110,14 +111,15 @@
         orders = orders_for(id, m->second, h.report, *mine);
     else
         orders = halts_of_cancelled(h.report);
-    renew(h.report, *mine, std::move(orders), h.reply);
+    renew(h.report, *mine, orders, h.reply);
 }
 
 // The one place that answers 200, and so renews a lease. Each such answer halts whatever is known to be
 // cancelled; and where a cancellation may have been told for so long that a lease renewed now would outlast
 // `cancel_s`, there is none: the worker tries the others, and its lease runs out. Refused by the state
 // service alone, an owner went on renewing the leases of tasks whose cancellation it never heard of.
-void Fleet::renew(const wire::Report& r, Term mine, std::vector<wire::Order> orders, const Reply& reply) {
+void Fleet::renew(const wire::Report& r, Term mine, const std::vector<wire::Order>& orders,
+                  const Reply& reply) {
     if (!horizon_.may_renew()) {
         ++counts_.not_renewed;
         log::debug("event=lease_not_renewed machine={}", r.machine.v);
@@ -220,107 +222,116 @@
                                            Term mine) {
     std::vector<wire::Order> orders;
     std::set<TaskRef> mentioned;
-    const Mono now = env_.now();
     for (const auto& t : r.tasks) {
-        const Job* job = model_.job(t.task.job);
-        TaskState s = model_.task(t.task);
-        const bool placed_here =
-            job != nullptr && s.at == TaskState::At::placed && s.machine == id && s.attempt == t.attempt;
-        if (placed_here) {
-            mentioned.insert(t.task);
-            Told& told = m.told[{t.task, t.attempt}];
-            told.session = r.age.session;
-            told.seen = true;
-            note_phase(id, m, t, *job);
-        }
-        if (t.phase == wire::TaskPhase::ended) {
-            if (!placed_here) {
-                // Its end is committed already, or it was never ours to count.
-                orders.push_back({wire::Verb::clear, t.task, t.attempt, 0});
-                continue;
-            }
-            if (t.cause == wire::Cause::done) {
-                m.errors = 0;
-                ledger_.finish(t.task, t.attempt, id);
-                continue;
-            }
-            // A failed end is believed only of a report that shows our term. A copy of an older one may be
-            // late, and since then the same attempt may have been ordered again in a new session.
-            if (r.token.term != mine) continue;
-            if (t.cause == wire::Cause::error) note_error(id, m, t.task.job);
-            if (t.cause == wire::Cause::no_room || t.cause == wire::Cause::unknown)
-                m.blocked_until = std::max(m.blocked_until, now + seconds(3));
-            ledger_.release(t.task, t.attempt, id, wire::cause_name(t.cause));
-            continue;
-        }
-        if (!placed_here) {
-            mentioned.insert(t.task);  // no start of it here while another attempt is still around
-            log::info("event=stray_halted task={} attempt={} machine={}", t.task.str(), t.attempt, id.v);
-            orders.push_back({wire::Verb::halt, t.task, t.attempt, 0});
-            continue;
-        }
-        if (job->cancelled) {
-            orders.push_back({wire::Verb::halt, t.task, t.attempt, 0});
-            continue;
-        }
-        if (job->spec.shape == wire::Shape::gang && sched::gang_state(*job).failed) {
-            orders.push_back({wire::Verb::halt, t.task, t.attempt, 0});
-            continue;
-        }
-        const double grace = job->spec.save_s + 3;
-        if (stops_.contains({t.task, t.attempt})) {
-            if (t.phase != wire::TaskPhase::saving)
-                orders.push_back({wire::Verb::halt, t.task, t.attempt, grace});
-            continue;
-        }
-        // A task that can save does so as late as the notice allows; one that can't runs on: it may finish.
-        if (r.notice_s && job->spec.checkpoint_s > 0 && t.phase == wire::TaskPhase::running &&
-            *r.notice_s < job->spec.save_s + 2.5 * settings_.report_s)
-            orders.push_back({wire::Verb::halt, t.task, t.attempt, grace});
+        // No start of a task here while another attempt of it is still around.
+        if (t.phase != wire::TaskPhase::ended || placed_on(id, t)) mentioned.insert(t.task);
+        if (const auto order = order_for_reported(id, m, r, t, mine)) orders.push_back(*order);
     }
     for (const auto& ref : std::set<TaskRef>(model_.on_machine(id))) {
         if (mentioned.contains(ref)) continue;
-        TaskState s = model_.task(ref);
-        const Job* job = model_.job(ref.job);
-        if (job == nullptr) continue;
-        // Judged to be over, only not committed yet (the state service may be away): a worker back in a new
-        // session must not be told to start it again, or it would run while its successor is started
-        // elsewhere.
-        if (ledger_.ending(ref, s.attempt)) continue;
-        auto told = m.told.find({ref, s.attempt});
-        const bool ordered = told != m.told.end();
-        const bool was_here = ordered && told->second.seen;
-        // The lease it was ordered or seen under is over, or answer after answer with it was lost.
-        const bool never_took = ordered && !was_here &&
-                                (told->second.session < r.age.session || told->second.answers >= most_orders);
-        const bool unwanted = job->cancelled || was_here || never_took || r.notice_s ||
-                              (job->spec.shape == wire::Shape::gang && sched::gang_state(*job).failed);
-        if (!unwanted) {
-            if (ordered && m.hears) {
-                log::info("event=run_unheeded task={} attempt={} machine={} answers={}", ref.str(), s.attempt,
-                          id.v, told->second.answers);
-                m.hears = false;
-            }
-            // Without the state service nothing is started: the job may be cancelled and the part another's
-            // by now.
-            if (!cluster_.in_touch()) continue;
-            Told& t = m.told[{ref, s.attempt}];
-            t.session = r.age.session;
-            ++t.answers;
-            if (auto start = m.starts.find({ref, s.attempt});
-                start != m.starts.end() && start->second.ordered == Mono{})
-                start->second.ordered = now;
-            orders.push_back({wire::Verb::run, ref, s.attempt, 0});
-            continue;
-        }
+        if (const auto order = order_for_absent(id, m, r, ref, mine)) orders.push_back(*order);
+    }
+    forget_past_attempts(id, m);
+    return orders;
+}
+
+bool Fleet::placed_on(const MachineId& id, const wire::ReportedTask& t) const {
+    const TaskState s = model_.task(t.task);
+    return model_.job(t.task.job) != nullptr && s.at == TaskState::At::placed && s.machine == id &&
+           s.attempt == t.attempt;
+}
+
+std::optional<wire::Order> Fleet::order_for_reported(const MachineId& id, Machine& m, const wire::Report& r,
+                                                     const wire::ReportedTask& t, Term mine) {
+    const Job* job = model_.job(t.task.job);
+    const bool placed_here = placed_on(id, t);
+    if (placed_here) {
+        Told& told = m.told[{t.task, t.attempt}];
+        told.session = r.age.session;
+        told.seen = true;
+        note_phase(id, m, t, *job);
+    }
+    if (t.phase == wire::TaskPhase::ended) {
+        // Its end is committed already, or it was never ours to count.
+        if (!placed_here) return wire::Order{wire::Verb::clear, t.task, t.attempt, 0};
+        take_end(id, m, r, t, mine);
+        return std::nullopt;
+    }
+    const wire::Order halt_at_once{wire::Verb::halt, t.task, t.attempt, 0};
+    if (!placed_here) {
+        log::info("event=stray_halted task={} attempt={} machine={}", t.task.str(), t.attempt, id.v);
+        return halt_at_once;
+    }
+    if (job->cancelled || (job->spec.shape == wire::Shape::gang && sched::gang_state(*job).failed))
+        return halt_at_once;
+    const wire::Order halt_with_grace{wire::Verb::halt, t.task, t.attempt, job->spec.save_s + save_margin_s};
+    if (stops_.contains({t.task, t.attempt})) {
+        if (t.phase == wire::TaskPhase::saving) return std::nullopt;
+        return halt_with_grace;
+    }
+    // A task that can save does so as late as the notice allows; one that can't runs on: it may finish.
+    if (r.notice_s && job->spec.checkpoint_s > 0 && t.phase == wire::TaskPhase::running &&
+        *r.notice_s < job->spec.save_s + 2.5 * settings_.report_s)
+        return halt_with_grace;
+    return std::nullopt;
+}
+
+// The end of an attempt that is placed here.
+void Fleet::take_end(const MachineId& id, Machine& m, const wire::Report& r, const wire::ReportedTask& t,
+                     Term mine) {
+    if (t.cause == wire::Cause::done) {
+        m.errors = 0;
+        ledger_.finish(t.task, t.attempt, id);
+        return;
+    }
+    // A failed end is believed only of a report that shows our term. A copy of an older one may be late, and
+    // since then the same attempt may have been ordered again in a new session.
+    if (r.token.term != mine) return;
+    if (t.cause == wire::Cause::error) note_error(id, m, t.task.job);
+    if (t.cause == wire::Cause::no_room || t.cause == wire::Cause::unknown)
+        m.blocked_until = std::max(m.blocked_until, env_.now() + seconds(3));
+    ledger_.release(t.task, t.attempt, id, wire::cause_name(t.cause));
+}
+
+// What is placed here and not in the report: to be ordered to run, or, by proof, over.
+std::optional<wire::Order> Fleet::order_for_absent(const MachineId& id, Machine& m, const wire::Report& r,
+                                                   const TaskRef& ref, Term mine) {
+    const TaskState s = model_.task(ref);
+    const Job* job = model_.job(ref.job);
+    // Judged to be over, only not committed yet (the state service may be away): a worker back in a new
+    // session must not be told to start it again, or it would run while its successor is started elsewhere.
+    if (job == nullptr || ledger_.ending(ref, s.attempt)) return std::nullopt;
+    const auto told = m.told.find({ref, s.attempt});
+    const bool ordered = told != m.told.end();
+    const bool was_here = ordered && told->second.seen;
+    // The lease it was ordered or seen under is over, or answer after answer with it was lost.
+    const bool never_took =
+        ordered && !was_here && (told->second.session < r.age.session || told->second.answers >= most_orders);
+    const bool unwanted = job->cancelled || was_here || never_took || r.notice_s ||
+                          (job->spec.shape == wire::Shape::gang && sched::gang_state(*job).failed);
+    if (unwanted) {
         // Absent from a check-in that shows our term: no order of an earlier owner counts any more, and those
         // in answers of ours to earlier check-ins were executed or dropped before this one was sent.
-        if (r.token.term == mine)
-            ledger_.release(ref, s.attempt, id,
-                            was_here     ? "vanished"
-                            : never_took ? "not_taken"
-                                         : "not_started");
+        const char* why = was_here ? "vanished" : never_took ? "not_taken" : "not_started";
+        if (r.token.term == mine) ledger_.release(ref, s.attempt, id, why);
+        return std::nullopt;
+    }
+    if (ordered && m.hears) {
+        log::info("event=run_unheeded task={} attempt={} machine={} answers={}", ref.str(), s.attempt, id.v,
+                  told->second.answers);
+        m.hears = false;
     }
+    // Without the state service nothing is started: the job may be cancelled and the part another's by now.
+    if (!cluster_.in_touch()) return std::nullopt;
+    Told& order = m.told[{ref, s.attempt}];
+    order.session = r.age.session;
+    ++order.answers;
+    const auto start = m.starts.find({ref, s.attempt});
+    if (start != m.starts.end() && start->second.ordered == Mono{}) start->second.ordered = env_.now();
+    return wire::Order{wire::Verb::run, ref, s.attempt, 0};
+}
+
+void Fleet::forget_past_attempts(const MachineId& id, Machine& m) {
     const auto is_over = [&](const auto& entry) {
         const TaskState s = model_.task(entry.first.first);
         return s.at != TaskState::At::placed || s.machine != id || s.attempt != entry.first.second;
@@ -328,7 +339,6 @@
     const std::size_t many = 2 * model_.on_machine(id).size() + 32;
     if (m.told.size() > many) std::erase_if(m.told, is_over);
     if (m.starts.size() > many) std::erase_if(m.starts, is_over);
-    return orders;
 }
 
 void Fleet::note_committed(const TaskRef& ref, const MachineId& id, const StartProgress& assigned) {
@@ -516,40 +526,8 @@
     wire::Offers out{ask.round, ask.job, settings_.node, ask.scorers, false, ask.tasks, {}};
     if (job != nullptr && cluster_.synced() && !job->cancelled) {
         out.whole = job->spec.shape == wire::Shape::gang;
-        const Mono now = env_.now();
         const auto bound = model_.bound_zone(*job);
-        std::optional<std::vector<const Job*>>
-            before;  // looked up only where there is room: in a burst there is none
-        std::vector<sched::Candidate> candidates;
-        for (auto& [id, m] : machines_) {
-            const Room free = free_room(id, m);
-            if (!free.fits(ask.need) || !usable(id, m) ||
-                !sched::machine_allowed(job->spec, bound, m.type, m.zone, m.spot))
-                continue;
-            const auto* type = model_.type(m.type);
-            if (type == nullptr || !sched::worth_using(job->spec, *type, model_.types())) continue;
-            // A supplier that is gone leaves no reservations behind.
-            if (auto kept = reserved_.find(id); kept != reserved_.end() &&
-                                                !sched::may_use(job->spec, kept->second) &&
-                                                env_.now() - reserved_at_ < seconds(6))
-                continue;
-            sched::Candidate c{id, m.zone, free, type->room, false, std::min(m.errors, 5)};
-            if (!before) before = elders(*job);
-            const bool wanted = std::any_of(before->begin(), before->end(), [&](const Job* o) {
-                return sched::machine_allowed(o->spec, model_.bound_zone(*o), m.type, m.zone, m.spot) &&
-                       c.free.fits(o->spec.need) && sched::worth_using(o->spec, *type, model_.types());
-            });
-            if (wanted) {
-                // Only for a moment: an elder whose relay is away, or that fails everywhere, must not keep it
-                // idle.
-                if (m.kept_since == Mono{}) m.kept_since = now;
-                if (now - m.kept_since < kept_for) continue;
-            }
-            c.has_image = has_image(id, m, ask.image);
-            auto failed = job_errors_.find(ask.job);
-            if (failed != job_errors_.end() && failed->second.contains(id)) c.penalty += 2;
-            candidates.push_back(std::move(c));
-        }
+        auto candidates = candidates_for(ask, *job, bound);
         out.offers = sched::rank(candidates, ask.need, ask.tasks.size(), job->spec.one_zone && !bound);
         counts_.offers += out.offers.size();
         hold(ask.round, ask.need, out.offers);
@@ -557,6 +535,48 @@
     send_(ask.gatherer, std::move(out));
 }
 
+// Kept by the supplier for others. A supplier that is gone leaves no reservations behind.
+bool Fleet::kept_from(const MachineId& id, const Job& job) const {
+    const auto kept = reserved_.find(id);
+    return kept != reserved_.end() && !sched::may_use(job.spec, kept->second) &&
+           env_.now() - reserved_at_ < seconds(6);
+}
+
+std::vector<sched::Candidate> Fleet::candidates_for(const wire::Ask& ask, const Job& job,
+                                                    const std::optional<std::string>& bound) {
+    const Mono now = env_.now();
+    const auto failed = job_errors_.find(ask.job);
+    std::optional<std::vector<const Job*>>
+        before;  // looked up only where there is room: in a burst there is none
+    std::vector<sched::Candidate> candidates;
+    for (auto& entry : machines_) {
+        const MachineId& id = entry.first;
+        Machine& m = entry.second;
+        const Room free = free_room(id, m);
+        if (!free.fits(ask.need) || !usable(id, m) ||
+            !sched::machine_allowed(job.spec, bound, m.type, m.zone, m.spot))
+            continue;
+        const auto* type = model_.type(m.type);
+        if (type == nullptr || !sched::worth_using(job.spec, *type, model_.types()) || kept_from(id, job))
+            continue;
+        if (!before) before = elders(job);
+        const bool wanted = std::any_of(before->begin(), before->end(), [&](const Job* o) {
+            return sched::machine_allowed(o->spec, model_.bound_zone(*o), m.type, m.zone, m.spot) &&
+                   free.fits(o->spec.need) && sched::worth_using(o->spec, *type, model_.types());
+        });
+        if (wanted) {
+            // Only for a moment: an elder whose relay is away, or that fails everywhere, must not keep it
+            // idle.
+            if (m.kept_since == Mono{}) m.kept_since = now;
+            if (now - m.kept_since < kept_for) continue;
+        }
+        sched::Candidate c{id, m.zone, free, type->room, has_image(id, m, ask.image), std::min(m.errors, 5)};
+        if (failed != job_errors_.end() && failed->second.contains(id)) c.penalty += 2;
+        candidates.push_back(std::move(c));
+    }
+    return candidates;
+}
+
 void Fleet::on_verdict(const wire::Verdict& v) {
     let_go(v.round);
     const Job* job = model_.job(v.job);
@@ -726,7 +746,7 @@
     a.asking = true;
     ++asking_;
     env_.http(a.where, {"POST", "/commands", wire::orders_body(token_for(id, term), {}, a.session)},
-              seconds(2), [this, id, term](HttpResponse h) {
+              seconds(2), [this, id, term](const HttpResponse& h) {
                   --asking_;
                   auto at = addresses_.find(id);
                   if (at == addresses_.end()) return;
@@ -768,10 +788,7 @@
     for (auto& [id, m] : machines_) {
         if (!cluster_.term_of(id)) continue;
         const bool is_empty = empty(id, m);
-        if (!is_empty)
-            m.idle_since = now;
-        else if (m.idle_since == Mono{})
-            m.idle_since = now;
+        if (!is_empty || m.idle_since == Mono{}) m.idle_since = now;
         // One that is heard but does not hear us is out of touch all the same.
         Mono heard = std::max(m.last_good, m.first_known);
         wire::MachineBeat b;
@@ -807,7 +824,7 @@
     log::info("event=task_preempted task={} attempt={} machine={} term={}", ref.str(), t.attempt, t.machine.v,
               mine->v);
     // Straight to the worker, for speed; every answer to its check-ins repeats it until it is heeded.
-    wire::Order halt{wire::Verb::halt, ref, t.attempt, job->spec.save_s + 3};
+    wire::Order halt{wire::Verb::halt, ref, t.attempt, job->spec.save_s + save_margin_s};
     env_.http(
         it->second.address,
         {"POST", "/commands", wire::orders_body(token_for(t.machine, *mine), {halt}, it->second.age.session)},
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -30,13 +30,13 @@
     void start();
 
     void check_in(const wire::Report& r, const Reply& reply);
-    void on_ask(const wire::Ask& m);
-    void on_verdict(const wire::Verdict& m);
-    void on_drain(const NodeName& from, const wire::Drain& m);
-    void on_gone(const wire::Gone& m);
+    void on_ask(const wire::Ask& ask);
+    void on_verdict(const wire::Verdict& v);
+    void on_drain(const NodeName& from, const wire::Drain& d);
+    void on_gone(const wire::Gone& g);
     void on_reserve(const wire::Reserve& m);
     // Addresses that other nodes or the cloud's list know, for announcing a new term.
-    void on_beat(const wire::Beat& m);
+    void on_beat(const wire::Beat& b);
     void on_sighted(const wire::Sighted& m);
     void on_part_gained(std::uint32_t part);
     std::vector<wire::MachineBeat> beats();
@@ -53,7 +53,7 @@
     // Halts what runs of a cancelled job on our machines, without waiting for their next check-ins.
     void on_cancelled(const JobId& id);
     // Stops a task, with time to save if it can.
-    void on_preempt(const wire::Preempt& m);
+    void on_preempt(const wire::Preempt& p);
 
   private:
     struct Seen {
@@ -133,7 +133,7 @@
     void let_go(const wire::RoundId& round);
     void start(const TaskRef& ref, const MachineId& id, const Room& room);
     void started(const TaskRef& ref);
-    void renew(const wire::Report& r, Term mine, std::vector<wire::Order> orders, const Reply& reply);
+    void renew(const wire::Report& r, Term mine, const std::vector<wire::Order>& orders, const Reply& reply);
     std::vector<wire::Order> halts_of_cancelled(const wire::Report& r) const;
     void send_halts();
     void answer(const MachineId& id);
@@ -143,6 +143,17 @@
     bool worth_waiting(const MachineId& id, const Machine& m, const wire::Report& r) const;
     void take_report(Machine& m, const wire::Report& r, Term mine, bool checkin);
     std::vector<wire::Order> orders_for(const MachineId& id, Machine& m, const wire::Report& r, Term mine);
+    bool placed_on(const MachineId& id, const wire::ReportedTask& t) const;
+    std::optional<wire::Order> order_for_reported(const MachineId& id, Machine& m, const wire::Report& r,
+                                                  const wire::ReportedTask& t, Term mine);
+    std::optional<wire::Order> order_for_absent(const MachineId& id, Machine& m, const wire::Report& r,
+                                                const TaskRef& ref, Term mine);
+    void take_end(const MachineId& id, Machine& m, const wire::Report& r, const wire::ReportedTask& t,
+                  Term mine);
+    void forget_past_attempts(const MachineId& id, Machine& m);
+    bool kept_from(const MachineId& id, const Job& job) const;
+    std::vector<sched::Candidate> candidates_for(const wire::Ask& ask, const Job& job,
+                                                 const std::optional<std::string>& bound);
     Room free_room(const MachineId& id, Machine& m);
     Room work_out_room(const MachineId& id, const Machine& m) const;
     std::vector<const Job*> elders(const Job& j) const;
--- a/src/jobs/api.cpp
+++ b/src/jobs/api.cpp
@@ -87,7 +87,7 @@
     return true;
 }
 
-void JobsApi::look_up(const JobId& id, OnFound done) {
+void JobsApi::look_up(const JobId& id, const OnFound& done) {
     if (const auto* end = finals_.find(id)) {
         Found f;
         f.what = Found::What::final_state;
@@ -95,7 +95,7 @@
         return done(std::move(f));
     }
     // A job moves from its live record to its final one in one commit: read in this order it is never missed.
-    store_.get(keys::job(id), Urgency::user, [this, id, done](GetResult g) {
+    store_.get(keys::job(id), Urgency::user, [this, id, done](const GetResult& g) {
         Found f;
         if (g.outcome == Outcome::ok) {
             model_.apply({keys::job(id), g.value, g.version});
@@ -111,8 +111,8 @@
     });
 }
 
-void JobsApi::look_up_final(const JobId& id, OnFound done) {
-    store_.get(keys::final_state(id), Urgency::user, [this, id, done](GetResult e) {
+void JobsApi::look_up_final(const JobId& id, const OnFound& done) {
+    store_.get(keys::final_state(id), Urgency::user, [this, id, done](const GetResult& e) {
         Found found;
         if (e.outcome == Outcome::ok) {
             found.what = Found::What::final_state;
@@ -139,7 +139,7 @@
             return reply(answer(id, f, 200));
         }
         if (model_.version(keys::job(id)) != Revision{}) return reply(later(1));  // there, and unreadable
-        look_up_final(id, [this, id, reply](Found found) { reply(answer(id, found, 200)); });
+        look_up_final(id, [this, id, reply](const Found& found) { reply(answer(id, found, 200)); });
     });
 }
 
@@ -182,7 +182,7 @@
     if (!ready()) return reply(later(1));
     if (std::string never = never_runs(*spec); !never.empty()) {
         // A job accepted under other settings or types is still known, whatever would be said of it now.
-        return look_up(spec->id, [this, id = spec->id, never, reply](Found f) {
+        return look_up(spec->id, [this, id = spec->id, never, reply](const Found& f) {
             if (f.what == Found::What::none) return reply({422, Json{{"error", never}}.dump(), -1});
             reply(answer(id, f, 200));
         });
@@ -192,24 +192,25 @@
     j->relay = settings_.node;
     j->submitted = env_.wall();
     if (j->spec.one_zone) {
-        // The zone of a one-zone job is fixed when it is accepted: no two owners can start it in two zones.
+        // Where it is expected to go; its first start decides (Model::bound_zone).
         j->pinned_zone = j->spec.zone;
         for (const auto& t : model_.types())
             if (!j->pinned_zone && sched::type_allowed(j->spec, t) && !t.zones.empty())
                 j->pinned_zone = t.zones[std::hash<JobId>()(j->spec.id) % t.zones.size()];
     }
     if (model_.job(j->spec.id) != nullptr)
-        return look_up(j->spec.id, [this, id = j->spec.id, reply](Found f) { reply(answer(id, f, 200)); });
+        return look_up(j->spec.id,
+                       [this, id = j->spec.id, reply](const Found& f) { reply(answer(id, f, 200)); });
     accept(j, env_.now() + submit_limit, reply);
 }
 
-void JobsApi::accept(std::shared_ptr<Job> j, Mono until, Reply reply) {
+void JobsApi::accept(const std::shared_ptr<Job>& j, Mono until, const Reply& reply) {
     Txn txn;
     const JobId id = j->spec.id;
     txn.conditions = {{keys::job(id), Revision{}}, {keys::final_state(id), Revision{}}};
     txn.writes.push_back({keys::job(id), Model::encode_job(*j), std::nullopt});
     if (!store_.fits(txn)) return reply({400, R"({"error":"description too large"})", -1});
-    store_.commit(txn, Urgency::user, [this, j, id, txn, until, reply](CommitResult r) {
+    store_.commit(txn, Urgency::user, [this, j, id, txn, until, reply](const CommitResult& r) {
         if (r.outcome == Outcome::ok) {
             model_.apply({keys::job(id), txn.writes[0].value, r.revision});
             log::info("event=job_accepted job={} class={} team={} tasks={} revision={}", id.v,
@@ -219,7 +220,7 @@
         if (r.outcome == Outcome::conflict || r.outcome == Outcome::unknown) {
             // Known already, or perhaps accepted by the commit whose answer was lost: read before anything is
             // said.
-            return look_up(id, [this, j, id, until, reply](Found f) {
+            return look_up(id, [this, j, id, until, reply](const Found& f) {
                 if (f.what == Found::What::none && env_.now() < until && store_.reachable())
                     return accept(j, until, reply);
                 reply(f.what == Found::What::none ? later(1) : answer(id, f, 200));
@@ -233,15 +234,15 @@
     });
 }
 
-void JobsApi::cancel(const JobId& id, Mono until, Reply reply) {
-    look_up(id, [this, id, until, reply](Found f) {
+void JobsApi::cancel(const JobId& id, Mono until, const Reply& reply) {
+    look_up(id, [this, id, until, reply](const Found& f) {
         if (f.what != Found::What::live || f.job.cancelled) return reply(answer(id, f, 200));
         Job j = f.job;
         j.cancelled = true;
         Txn txn;
         txn.conditions.push_back({keys::job(id), f.job.version});
         txn.writes.push_back({keys::job(id), Model::encode_job(j), std::nullopt});
-        store_.commit(txn, Urgency::user, [this, id, txn, until, reply](CommitResult r) {
+        store_.commit(txn, Urgency::user, [this, id, txn, until, reply](const CommitResult& r) {
             if (r.outcome == Outcome::ok) {
                 model_.apply({keys::job(id), txn.writes[0].value, r.revision});
                 log::info("event=job_cancelled job={} revision={}", id.v, r.revision.v);
--- a/src/jobs/api.h
+++ b/src/jobs/api.h
@@ -43,12 +43,12 @@
         FinalCache::Entry end;
     };
     using OnFound = std::function<void(Found)>;
-    void look_up(const JobId& id, OnFound done);
-    void look_up_final(const JobId& id, OnFound done);
+    void look_up(const JobId& id, const OnFound& done);
+    void look_up_final(const JobId& id, const OnFound& done);
     void poll(const JobId& id, Reply reply);
     void submit(const HttpRequest& req, const Reply& reply);
-    void accept(std::shared_ptr<Job> j, Mono until, Reply reply);
-    void cancel(const JobId& id, Mono until, Reply reply);
+    void accept(const std::shared_ptr<Job>& j, Mono until, const Reply& reply);
+    void cancel(const JobId& id, Mono until, const Reply& reply);
     HttpResponse answer(const JobId& id, const Found& f, int live_status) const;
     std::string never_runs(const wire::JobSpec& s) const;
     static HttpResponse later(int seconds);
--- a/src/jobs/ledger.cpp
+++ b/src/jobs/ledger.cpp
@@ -23,10 +23,11 @@
 // itself.
 constexpr Duration start_answer_limit = place_limit + std::chrono::seconds(1);
 constexpr Duration end_answer_limit = gather_ends_longest + std::chrono::seconds(6);
-constexpr std::size_t most_bytes = 48 * 1024;  // of a transaction, well below the service's 64 KiB
-constexpr std::size_t most_sent = 256;         // operations in one message
-constexpr std::size_t most_ops = 20'000;       // waiting at a home; more are refused
-constexpr std::size_t most_records = 60'000;   // bytes of records in a message
+constexpr std::size_t most_bytes =
+    std::size_t{48} * 1024;                   // of a transaction, well below the service's 64 KiB
+constexpr std::size_t most_sent = 256;        // operations in one message
+constexpr std::size_t most_ops = 20'000;      // waiting at a home; more are refused
+constexpr std::size_t most_records = 60'000;  // bytes of records in a message
 }  // namespace
 
 Ledger::Ledger(Env& env, const Settings& settings, StoreClient& store, Model& model, Cluster& cluster,
@@ -603,7 +604,7 @@
     refresh(key, r.outcome == Outcome::conflict && !r.failed.empty() ? r.failed : keys_of(d.txn));
 }
 
-void Ledger::refresh(const LaneKey& lane, std::vector<std::string> wanted) {
+void Ledger::refresh(const LaneKey& lane, const std::vector<std::string>& wanted) {
     lanes_[lane].in_flight = true;
     auto left = std::make_shared<std::size_t>(wanted.size());
     for (const auto& key : wanted)
--- a/src/jobs/ledger.h
+++ b/src/jobs/ledger.h
@@ -114,7 +114,7 @@
     void answer(const JobId& job, Op& op, bool done);
     void send_results(const Txn* txn, Revision r);
     LaneKey lane_of(const PageKey& page, TaskEvent event) const;
-    void schedule(const LaneKey& lane, Duration d);
+    void schedule(const LaneKey& key, Duration d);
     void arm(Mono at);
     void pump();
     void flush(const LaneKey& key, std::size_t most_writes);
@@ -130,7 +130,7 @@
     std::optional<Term> valid_term(const Op& op, std::uint32_t part) const;
     bool zone_allowed(const Job& j, const std::string& zone, const Draft& d) const;
     bool apply(const Job& j, Op& op, std::vector<TaskState>& tasks, std::uint32_t page, TeamUse& use);
-    void refresh(const LaneKey& lane, std::vector<std::string> keys);
+    void refresh(const LaneKey& lane, const std::vector<std::string>& wanted);
     static std::vector<std::string> keys_of(const Txn& txn);
     void adopt(const Txn& txn, Revision r);
     Env& env_;
--- a/src/jobs/relay.cpp
+++ b/src/jobs/relay.cpp
@@ -17,17 +17,6 @@
 constexpr Duration plan_apart = std::chrono::milliseconds(20);
 constexpr std::size_t jobs_a_ms = 10;  // with thousands of jobs plans are further apart: each walks them all
 constexpr Duration tick_every = std::chrono::milliseconds(100);
-
-// Jobs of one kind find room on the same machines. Their amounts vary from job to job, and are compared
-// apart: a key with the amounts in it let every waiting job of a burst ask anew, and the messages ate the
-// controllers' processors.
-std::string kind_of(const Job& j) {
-    std::string k = j.spec.job_class + (j.spec.spot ? "|s" : "|o");
-    if (j.spec.types)
-        for (const auto& t : *j.spec.types) k += "," + t;
-    if (j.spec.zone) k += "@" + *j.spec.zone;
-    return k;
-}
 }  // namespace
 
 Relay::Relay(Env& env, const Settings& settings, StoreClient& store, Model& model, Cluster& cluster,
@@ -41,6 +30,10 @@
       send_(std::move(send)),
       reachable_(std::move(reachable)) {}
 
+Relay::JobKind Relay::kind_of(const Job& j) {
+    return {j.spec.job_class, sched::PlacementConstraints::of(j.spec)};
+}
+
 void Relay::start() { tick(); }
 
 void Relay::on_job(const JobId& id) {
@@ -73,7 +66,7 @@
 // Only those may ask again whose tasks would fit: when every end woke every waiting job, the rounds of a
 // burst took most of the controllers' processors.
 void Relay::on_freed(const wire::Freed& m) {
-    std::set<std::string> kinds;
+    std::set<JobKind> kinds;
     std::erase_if(no_room_, [&](const auto& e) {
         const Full& f = e.second;
         if (!m.room.fits(f.need) ||
@@ -164,7 +157,7 @@
         std::erase_if(w.asked, [&](const auto& a) { return now - a.second > asked_limit; });
         if (hand_over(*j, w)) continue;
         if (w.not_before > now) continue;
-        const std::string kind = kind_of(*j);
+        const JobKind kind = kind_of(*j);
         if (auto next = kind_next_.find(kind); next != kind_next_.end() && next->second > now) continue;
         auto closed = no_room_.find(kind);
         if (closed != no_room_.end() && closed->second.until > now && j->spec.need.fits(closed->second.need))
--- a/src/jobs/relay.h
+++ b/src/jobs/relay.h
@@ -11,6 +11,7 @@
 #include "cluster/cluster.h"
 #include "jobs/ledger.h"
 #include "sched/logic.h"
+#include "sched/placement_constraints.h"
 #include "store/model.h"
 #include "wire/peer.h"
 
@@ -69,16 +70,25 @@
     std::map<JobId, Waiting> waiting_;
     std::map<wire::RoundId, Gathering> rounds_;
     std::uint64_t next_round_ = 0;
+    // Jobs of one kind find room on the same machines. Their amounts vary from job to job, and are compared
+    // apart: with the amounts in the key every waiting job of a burst asked anew, and the messages took the
+    // controllers' processors.
+    struct JobKind {
+        std::string job_class;
+        sched::PlacementConstraints constraints;
+        auto operator<=>(const JobKind&) const = default;
+    };
+    static JobKind kind_of(const Job& j);
     // What found no room lately: jobs of that kind that need as much or more are not asked for until then.
     struct Full {
         Room need;
         std::optional<std::vector<std::string>> types;
         Mono until{};
     };
-    std::map<std::string, Full> no_room_;
+    std::map<JobKind, Full> no_room_;
     // When the next job of a kind may ask. One round at a time shows whether there is room at all: all
     // waiting jobs of a burst asking at once took the whole share of the controllers' processors.
-    std::map<std::string, Mono> kind_next_;
+    std::map<JobKind, Mono> kind_next_;
     bool woken_ = false;
     Mono planned_{};
     Counts counts_;
