--- a/src/jobs/ledger.cpp
+++ b/src/jobs/ledger.cpp
@@ -331,7 +331,6 @@
         if (there >= static_cast<std::int64_t>(most)) return false;
         t.zone = op.zone;
     }
-    if (model_.zone_in_page(j.spec)) t.zone = op.zone;
     t.at = TaskState::At::placed;
     t.attempt = *attempt;
     t.machine = op.machine;
@@ -434,8 +433,7 @@
     d.txn.conditions.push_back({job_key, j.version});
     d.txn.conditions.push_back({page_key, model_.version(page_key)});
     const auto zone = d.zones.find(page.job);
-    const bool in_record = zone != d.zones.end() && !model_.zone_in_page(j.spec);
-    if (in_record && zone->second != j.pinned_zone && d.moved.insert(page.job).second) {
+    if (zone != d.zones.end() && zone->second != j.pinned_zone && d.moved.insert(page.job).second) {
         // No task of it is on a machine, as these versions of all its pages prove; from this commit on it is
         // bound to the zone.
         for (std::uint32_t n = 0; n < model_.pages_of(j.spec); ++n)
--- a/src/store/model.cpp
+++ b/src/store/model.cpp
@@ -267,7 +267,6 @@
     const bool was = j.cancelled;
     j = std::move(*decoded);
     j.version = item.version;
-    follow_zone(j);
     if (j.cancelled)
         called_off_.insert(id);
     else
@@ -337,15 +336,6 @@
     return found;
 }
 
-void Model::follow_zone(Job& j) const {
-    const auto page = j.pages.find(0);
-    if (!zone_in_page(j.spec) || page == j.pages.end()) return;
-    const auto placed =
-        std::find_if(page->second.tasks.begin(), page->second.tasks.end(),
-                     [](const TaskState& t) { return t.at == TaskState::At::placed && !t.zone.empty(); });
-    if (placed != page->second.tasks.end()) j.pinned_zone = placed->zone;
-}
-
 void Model::set_page(Job& j, std::uint32_t n, std::vector<TaskState> tasks, Revision version) {
     Page& p = j.pages[n];
     j.placed -= p.placed;
@@ -386,7 +376,6 @@
     p.done = count(TaskState::At::done);
     j.placed += p.placed;
     j.done += p.done;
-    follow_zone(j);
 }
 
 }  // namespace zd
--- a/src/store/model.h
+++ b/src/store/model.h
@@ -21,7 +21,7 @@
     enum class At : std::uint8_t { pending, placed, done } at = At::pending;
     Attempt attempt = 0;  // placed: the present one; pending: the last that ended
     MachineId machine;
-    std::string zone;  // of the machine, where the job asks to be spread, or for one zone and has one page
+    std::string zone;  // of the machine, where the job asks to be spread
     bool operator==(const TaskState&) const = default;
 };
 
@@ -37,8 +37,7 @@
     bool cancelled = false;
     NodeName relay;
     WallMs submitted;
-    // For one_zone jobs: where its tasks are, or are expected to go. Of a job with one page that page tells.
-    std::optional<std::string> pinned_zone;
+    std::optional<std::string> pinned_zone;  // for one_zone jobs: where its tasks are, or are expected to go
     std::map<std::uint32_t, Page> pages;
     TaskIndex placed = 0, done = 0;
     TaskIndex pending() const { return spec.tasks - placed - done; }
@@ -102,8 +101,6 @@
             j.spec.one_zone && !j.spec.zone && j.placed == 0 && pages_of(j.spec) <= most_free_pages;
         return free ? std::nullopt : j.pinned_zone;
     }
-    // The zone of the job's tasks stands with them, in the only page that there is.
-    bool zone_in_page(const wire::JobSpec& s) const { return s.one_zone && pages_of(s) == 1; }
     static constexpr std::uint32_t most_free_pages = 4;  // all are named in the commit's conditions
     std::uint32_t page_size() const { return page_size_; }
     std::uint32_t page_of(TaskIndex t) const { return t / page_size_; }
@@ -149,7 +146,6 @@
   private:
     void apply_job(const JobId& id, const Item& item);
     void apply_page(const std::string& rest, const Item& item);
-    void follow_zone(Job& j) const;
     void set_page(Job& j, std::uint32_t n, std::vector<TaskState> tasks, Revision version);
     void note_image(const MachineId& m, const wire::JobSpec& s, Revision at);
     struct Image {
