--- a/tests/team_locks_test.cpp
+++ b/tests/team_locks_test.cpp
@@ -72,6 +72,30 @@
     expect_rules(w);
 }
 
+// The start of a whole job has no answer; more urgent work takes the team's room meanwhile, and then the
+// start would be carried out after all. Its page is as it was: only the lock's new token stops it.
+TEST(TeamLock, UnansweredStartOfAJobThatLostItsRoom) {
+    for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+        World w(seeded(seed));
+        for (int i = 0; i < 8; ++i) w.add_machine("small", "a", false, 0.5);
+        w.submit(w.job(id_of(100), 8, 1, 400));        // keeps the machines, and leaves room on them
+        w.submit(w.job(id_of(101), 1, 1, 1, "blue"));  // the lock is held from here on
+        ASSERT_TRUE(w.run_until([&] { return w.on_machines(id_of(100)) == 8; }, 60));
+        ASSERT_TRUE(told_all(w, {id_of(101)}, 60));
+        w.submit(w.job(id_of(1), 12, 1, 60, "blue"));
+        while (!w.accepted(id_of(1)) && w.now() < 200) w.run(0.004);
+        w.late_writes = 1;
+        w.run(0.25);
+        w.late_writes = 0;
+        Json urgent = w.job(id_of(2), 12, 1, 60, "blue");
+        urgent["rank"] = "critical";
+        w.submit(urgent);
+        EXPECT_TRUE(w.run_until([&] { return w.on_machines(id_of(2)) == 12; }, 15)) << seed;
+        EXPECT_TRUE(told_all(w, {id_of(1), id_of(2)}, 300)) << seed;
+        expect_rules(w);
+    }
+}
+
 // Commits are carried out seconds after their time, without an answer, while the team is always at its limit,
 // holders end and are cut off: no late start may go beyond the limit.
 class LateStarts : public testing::TestWithParam<std::uint64_t> {};
