Places for replicas are kept where their images lie, not whole machines that run them

Cause: a class whose aim for the wait is shorter than a boot had every machine that runs it reserved. Replicas' expected end was taken to be 3 s from now. Now the free places that arrive while a machine would boot, and those of a largest job, are kept where the class's images lie; replicas stay while room is made beside them; they have no expected end.

--- a/src/jobs/ledger.cpp
+++ b/src/jobs/ledger.cpp
@@ -398,7 +398,7 @@
 
 // Conditions that one more page takes at the most: its job's, its own, and those of the frozen pages that its
 // tasks were in, or of all the job's pages where the zone is chosen.
-std::size_t Ledger::conditions_for(const Job* j) const {
+std::size_t Ledger::conditions_for(const Job* j) {
     if (j == nullptr) return 0;
     const std::size_t own = 2 + std::min<std::size_t>(j->frozen_pages.size(), 2);
     return j->spec.one_zone ? std::max(own, 1 + Model::most_free_pages) : own;
@@ -526,7 +526,7 @@
 }
 
 void Ledger::add_writes(Draft& d, const PageKey& page, const Job& j, const std::vector<TaskState>& tasks) {
-    const std::string job_key = keys::job(page.job), page_key = model_.page_key(j, page.page);
+    const std::string job_key = keys::job(page.job), page_key = Model::page_key(j, page.page);
     const auto add_condition = [&d](const Condition& condition) {
         const auto same = [&](const Condition& c) { return c.key == condition.key; };
         if (std::none_of(d.txn.conditions.begin(), d.txn.conditions.end(), same))
--- a/src/jobs/ledger.h
+++ b/src/jobs/ledger.h
@@ -136,7 +136,7 @@
     bool fits_a_record(const PageKey& page, const Job& j, const std::vector<TaskState>& tasks);
     void put_back(const JobId& job, Op op, Duration pause);
     void resize_pages(const Job& j);
-    std::size_t conditions_for(const Job* j) const;
+    static std::size_t conditions_for(const Job* j);
     void add_writes(Draft& d, const PageKey& page, const Job& j, const std::vector<TaskState>& tasks);
     PageKey page_key_of(const JobId& job, TaskIndex task) const;
     std::optional<Term> valid_term(const Op& op, std::uint32_t part) const;
--- a/src/sched/logic.cpp
+++ b/src/sched/logic.cpp
@@ -6,6 +6,17 @@
 
 namespace zd::sched {
 
+std::size_t tasks_that_fit(const Room& room, const Room& need) {
+    std::int64_t most = wire::max_tasks;
+    const auto limit = [&](std::int64_t there, std::int64_t each) {
+        if (each > 0) most = std::min(most, there / each);
+    };
+    limit(room.cpu, need.cpu);
+    limit(room.gpu, need.gpu);
+    limit(room.ram, need.ram);
+    return static_cast<std::size_t>(std::max<std::int64_t>(most, 0));
+}
+
 bool type_allowed(const wire::JobSpec& s, const wire::MachineType& t) {
     if (s.types && std::find(s.types->begin(), s.types->end(), t.name) == s.types->end()) return false;
     return t.room.fits(s.need);
--- a/src/sched/logic.h
+++ b/src/sched/logic.h
@@ -20,6 +20,8 @@
     int penalty = 0;  // recent troubles
 };
 
+// How many tasks with this need the room takes.
+std::size_t tasks_that_fit(const Room& room, const Room& need);
 bool type_allowed(const wire::JobSpec& s, const wire::MachineType& t);
 // GPUs are kept for those who need them, as long as another type would do.
 bool worth_using(const wire::JobSpec& s, const wire::MachineType& t,
--- a/src/store/model.cpp
+++ b/src/store/model.cpp
@@ -145,7 +145,7 @@
     return std::min(page_size(j), j.spec.tasks - page * page_size(j));
 }
 
-std::string Model::page_key(const Job& j, std::uint32_t page) const {
+std::string Model::page_key(const Job& j, std::uint32_t page) {
     return j.small_page_size != 0 ? keys::small_page(j.spec.id, page) : keys::page(j.spec.id, page);
 }
 
--- a/src/store/model.h
+++ b/src/store/model.h
@@ -128,7 +128,7 @@
     std::uint32_t page_of(const Job& j, TaskIndex t) const { return t / page_size(j); }
     std::uint32_t pages_of(const Job& j) const { return (j.spec.tasks + page_size(j) - 1) / page_size(j); }
     TaskIndex tasks_in(const Job& j, std::uint32_t page) const;
-    std::string page_key(const Job& j, std::uint32_t page) const;
+    static std::string page_key(const Job& j, std::uint32_t page);
     std::vector<TaskState> page_tasks(const Job& j, std::uint32_t page) const;
     // What a commit that changes the page has to name: its version, and while it was never written those of
     // the frozen pages that still hold its tasks.
--- a/src/supply/arrivals.cpp
+++ b/src/supply/arrivals.cpp
@@ -15,7 +15,7 @@
     const bool latest = arrivals_.empty() || job.submitted > arrivals_.rbegin()->first.first;
     if (latest) latest_spec_ = job.spec;
     if (first_ == WallMs{}) first_ = job.submitted;
-    const TaskIndex machines = job.spec.shape == wire::Shape::gang ? job.spec.tasks : 1;
+    const TaskIndex machines = job.spec.shape == wire::Shape::array ? 1 : job.spec.tasks;
     arrivals_.emplace(key, Arrival{machines, job.spec.image});
     if (arrivals_.size() > max_arrivals) arrivals_.erase(arrivals_.begin());
 }
--- a/src/supply/arrivals.h
+++ b/src/supply/arrivals.h
@@ -22,8 +22,8 @@
     bool empty() const { return arrivals_.empty(); }
     /// Description of the job submitted last.
     const wire::JobSpec& latest_spec() const { return latest_spec_; }
-    /// Machines that are asked for in a second. A gang asks for one for each of its tasks, any other job for
-    /// one.
+    /// Machines that are asked for in a second. A gang asks for one for each of its tasks, an array for one;
+    /// of a service, the places for its replicas.
     double machines_per_s(WallMs now) const;
     /// The share of each image in the machines asked for.
     std::map<std::string, double> image_shares() const;
--- a/src/supply/class_reservations.cpp
+++ b/src/supply/class_reservations.cpp
@@ -35,14 +35,15 @@
                                                  const ArrivalStatistics& arrivals, WallMs now,
                                                  ReservationMap& reserved) {
     const wire::JobSpec& spec = arrivals.latest_spec();
+    if (spec.shape == wire::Shape::service) return reserve_for_service(arrivals, now, reserved);
     const wire::MachineType* type = cheapest_type(spec);
     const double aim_s = wait_aim_s(job_class);
     if (type == nullptr || aim_s > type->boot_s * short_aim_boots || arrivals.empty()) return std::nullopt;
-    const std::size_t standby = standby_machines(arrivals, *type, now);
+    const std::size_t machines_ready = standby(arrivals, *type, now);
     const std::size_t waiting = waiting_tasks(job_class);
     sched::Reservation reservation{job_class, spec.rank, std::min(aim_s * save_share_of_aim, max_save_s), {}};
     auto [bins, running] = rate_bins(arrivals, reservation);
-    bins.resize(std::min(running + waiting + standby, bins.size()));
+    bins.resize(std::min(running + waiting + machines_ready, bins.size()));
     const std::size_t clearable = preemptor_.make_room(bins, waiting, spec, reservation);
     // While tasks of the class wait, nobody else uses its machines, however soon it would yield: of a machine
     // being cleared, the first half that came free was taken again before the second was.
@@ -54,11 +55,85 @@
     Demand demand;
     demand.spec = &spec;
     demand.pin = spec.zone;
-    demand.tasks = static_cast<TaskIndex>(standby - std::min(standby, clearable));
+    demand.tasks = static_cast<TaskIndex>(machines_ready - std::min(machines_ready, clearable));
     demand.run_s = std::max(1.0, expected_run_s(spec));
     return demand;
 }
 
+// Replicas are wanted at once, whatever the aims say, take little of a machine and stay. Kept are as many
+// free places as are asked for while another machine would boot, and those of a largest job, where the
+// class's images lie: of the machines that run replicas no more than that takes, since the rest of each would
+// stand idle.
+std::optional<Demand> ClassReservations::reserve_for_service(const ArrivalStatistics& arrivals, WallMs now,
+                                                             ReservationMap& reserved) {
+    const wire::JobSpec& spec = arrivals.latest_spec();
+    const wire::MachineType* type = cheapest_type(spec);
+    if (type == nullptr || arrivals.empty()) return std::nullopt;
+    const sched::Reservation reservation{spec.job_class, spec.rank, max_save_s, {}};
+    const auto keep = [&](Bin* bin) {
+        bin->reserved = reservation;
+        reserved[bin->id] = reservation;
+    };
+    const std::size_t waiting = waiting_tasks(spec.job_class);
+    std::size_t missing = waiting + standby_places(arrivals, *type, now);
+    for (const RatedBin& rated : bins_with_places(arrivals)) {
+        if (missing == 0) return std::nullopt;
+        keep(rated.bin);
+        missing -= std::min(missing, free_places(*rated.bin, spec));
+    }
+    if (missing == 0) return std::nullopt;
+    const std::size_t per_machine = sched::tasks_that_fit(type->room, spec.need);
+    auto [bins, running] = rate_bins(arrivals, reservation);
+    bins.resize(std::min(bins.size(), (missing + per_machine - 1) / per_machine));
+    preemptor_.make_room(bins, std::min(waiting, missing), spec, reservation);
+    for (const RatedBin& rated : bins) keep(rated.bin);
+    Demand demand;
+    demand.spec = &spec;
+    demand.pin = spec.zone;
+    demand.tasks = static_cast<TaskIndex>(missing - std::min(missing, waiting));
+    demand.run_s = expected_run_s(spec);
+    return demand;
+}
+
+std::size_t ClassReservations::standby_places(const ArrivalStatistics& arrivals,
+                                              const wire::MachineType& type, WallMs now) const {
+    if (policy_.reserve <= 0) return 0;
+    const wire::JobSpec& spec = arrivals.latest_spec();
+    const double boot_s = type.boot_s + spec.image_gb / type.fetch_gb_per_s;
+    return static_cast<std::size_t>(std::ceil(arrivals.machines_per_s(now) * boot_s)) + spec.tasks;
+}
+
+// How many such tasks could start on the machine now, beside what runs.
+std::size_t ClassReservations::free_places(const Bin& bin, const wire::JobSpec& spec) {
+    std::size_t places = 0;
+    for (const Slot& slot : bin.slots)
+        if (slot.free_at <= 0) places += sched::tasks_that_fit(slot.room, spec.need);
+    return places;
+}
+
+// Machines with free places, first those that hold the images which the class asks for most.
+std::vector<RatedBin> ClassReservations::bins_with_places(const ArrivalStatistics& arrivals) {
+    const wire::JobSpec& spec = arrivals.latest_spec();
+    const auto image_shares = arrivals.image_shares();
+    std::vector<RatedBin> rated;
+    for (Bin& bin : plan_.bins) {
+        const wire::MachineType* type = model_.type(bin.type);
+        if (!may_reserve(bin, type, spec) || free_places(bin, spec) == 0) continue;
+        const double kept_bonus = previous_.contains(bin.id) ? idle_reserved_bonus : 0;
+        rated.push_back({-held_image_share(bin.id, *type, image_shares) - kept_bonus, &bin});
+    }
+    std::stable_sort(rated.begin(), rated.end(),
+                     [](const RatedBin& a, const RatedBin& b) { return a.rating < b.rating; });
+    return rated;
+}
+
+bool ClassReservations::may_reserve(const Bin& bin, const wire::MachineType* type,
+                                    const wire::JobSpec& spec) const {
+    return !bin.id.empty() && !bin.reserved && type != nullptr && type->room.fits(spec.need) &&
+           sched::worth_using(spec, *type, model_.types()) &&
+           sched::machine_allowed(spec, spec.zone, bin.type, bin.zone, bin.spot);
+}
+
 const wire::MachineType* ClassReservations::cheapest_type(const wire::JobSpec& spec) const {
     const wire::MachineType* cheapest = nullptr;
     for (const auto& type : model_.types())
@@ -76,8 +151,8 @@
 }
 
 // As many machines as are asked for while another would boot and fetch the image.
-std::size_t ClassReservations::standby_machines(const ArrivalStatistics& arrivals,
-                                                const wire::MachineType& type, WallMs now) const {
+std::size_t ClassReservations::standby(const ArrivalStatistics& arrivals, const wire::MachineType& type,
+                                       WallMs now) const {
     const double boot_s = type.boot_s + arrivals.latest_spec().image_gb / type.fetch_gb_per_s;
     const double expected = std::ceil(arrivals.machines_per_s(now) * boot_s * policy_.reserve);
     const double least = policy_.reserve > 0 ? 1.0 : 0.0;
@@ -98,21 +173,19 @@
     const auto image_shares = arrivals.image_shares();
     RatedBins rated;
     for (Bin& bin : plan_.bins) {
-        if (bin.id.empty() || bin.reserved) continue;
-        if (!sched::machine_allowed(spec, spec.zone, bin.type, bin.zone, bin.spot)) continue;
         const wire::MachineType* type = model_.type(bin.type);
-        if (type == nullptr || !type->room.fits(spec.need)) continue;
-        const bool runs = runs_class(bin.id, reservation.job_class);
+        if (!may_reserve(bin, type, spec)) continue;
+        const bool runs = spec.shape != wire::Shape::service && runs_class(bin.id, reservation.job_class);
         if (runs) ++rated.running;
-        rated.bins.push_back({rate(bin, *type, runs, image_shares, reservation), &bin});
+        rated.bins.push_back({rate(bin, *type, spec, runs, image_shares, reservation), &bin});
     }
     std::stable_sort(rated.bins.begin(), rated.bins.end(),
                      [](const RatedBin& a, const RatedBin& b) { return a.rating < b.rating; });
     return rated;
 }
 
-double ClassReservations::rate(const Bin& bin, const wire::MachineType& type, bool runs_class,
-                               const std::map<std::string, double>& image_shares,
+double ClassReservations::rate(const Bin& bin, const wire::MachineType& type, const wire::JobSpec& spec,
+                               bool runs_class, const std::map<std::string, double>& image_shares,
                                const sched::Reservation& reservation) const {
     if (runs_class) return runs_class_rating;
     if (preemptor_.is_clearing(bin.id)) return clearing_rating;
@@ -125,7 +198,7 @@
                (was_reserved ? idle_reserved_bonus : 0);
     // Of the busy ones those first that lose least when they are cleared.
     return (was_reserved ? busy_reserved_rating : busy_rating) +
-           preemptor_.loss_of(bin.id, reservation).value_or(not_clearable_loss);
+           preemptor_.loss_of(bin, spec, reservation).value_or(not_clearable_loss);
 }
 
 bool ClassReservations::runs_class(const MachineId& id, const std::string& job_class) const {
--- a/src/supply/class_reservations.h
+++ b/src/supply/class_reservations.h
@@ -34,6 +34,13 @@
                                   ReservationMap& reserved);
 
   private:
+    std::optional<Demand> reserve_for_service(const ArrivalStatistics& arrivals, WallMs now,
+                                              ReservationMap& reserved);
+    std::size_t standby_places(const ArrivalStatistics& arrivals, const wire::MachineType& type,
+                               WallMs now) const;
+    static std::size_t free_places(const Bin& bin, const wire::JobSpec& spec);
+    std::vector<RatedBin> bins_with_places(const ArrivalStatistics& arrivals);
+    bool may_reserve(const Bin& bin, const wire::MachineType* type, const wire::JobSpec& spec) const;
     struct RatedBins {
         std::vector<RatedBin> bins;
         std::size_t running = 0;  // bins that run tasks of the class
@@ -41,11 +48,10 @@
 
     const wire::MachineType* cheapest_type(const wire::JobSpec& spec) const;
     double wait_aim_s(const std::string& job_class) const;
-    std::size_t standby_machines(const ArrivalStatistics& arrivals, const wire::MachineType& type,
-                                 WallMs now) const;
+    std::size_t standby(const ArrivalStatistics& arrivals, const wire::MachineType& type, WallMs now) const;
     std::size_t waiting_tasks(const std::string& job_class) const;
     RatedBins rate_bins(const ArrivalStatistics& arrivals, const sched::Reservation& reservation);
-    double rate(const Bin& bin, const wire::MachineType& type, bool runs_class,
+    double rate(const Bin& bin, const wire::MachineType& type, const wire::JobSpec& spec, bool runs_class,
                 const std::map<std::string, double>& image_shares,
                 const sched::Reservation& reservation) const;
     bool runs_class(const MachineId& id, const std::string& job_class) const;
--- a/src/supply/preemption.cpp
+++ b/src/supply/preemption.cpp
@@ -41,12 +41,21 @@
 
 // Stopping what saves loses nothing. Of the rest only tasks of lower rank that have just begun are stopped:
 // most of their time so far went into their image, which stays.
-std::optional<double> Preemptor::loss_of(const MachineId& id, const sched::Reservation& reservation) const {
+std::optional<double> Preemptor::loss_of(const Bin& machine, const wire::JobSpec& spec,
+                                         const sched::Reservation& reservation) const {
+    const wire::MachineType* type = model_.type(machine.type);
+    if (type == nullptr) return std::nullopt;
+    Room beside_services = type->room;
     double loss_s = 0;
-    for (const auto& ref : model_.on_machine(id)) {
+    for (const auto& ref : model_.on_machine(machine.id)) {
         const Job* job = model_.job(ref.job);
-        if (job == nullptr || job->spec.rank <= reservation.rank || job->spec.shape != wire::Shape::array)
-            return std::nullopt;
+        if (job == nullptr) return std::nullopt;
+        if (job->spec.shape == wire::Shape::service) {
+            beside_services -= job->spec.need;
+            if (!beside_services.fits(spec.need)) return std::nullopt;
+            continue;
+        }
+        if (job->spec.rank <= reservation.rank || job->spec.shape != wire::Shape::array) return std::nullopt;
         if (sched::yields(job->spec, reservation)) continue;
         auto since = placed_since_.find({ref, model_.task(ref).attempt});
         if (since == placed_since_.end()) return std::nullopt;
@@ -68,7 +77,7 @@
             if (waiting > 0) --waiting;
             continue;
         }
-        const auto loss_s = loss_of(bin->id, reservation);
+        const auto loss_s = loss_of(*bin, spec, reservation);
         if (loss_s && !model_.on_machine(bin->id).empty()) candidates.emplace_back(*loss_s, bin->id);
     }
     std::stable_sort(candidates.begin(), candidates.end(),
@@ -89,6 +98,8 @@
     clearing_[id] = env_.now();
     const MachineReport* report = inventory_.find_report(id);
     for (const auto& ref : model_.on_machine(id)) {
+        const Job* job = model_.job(ref.job);
+        if (job != nullptr && job->spec.shape == wire::Shape::service) continue;
         log::info("event=preempt task={} machine={} for_class={} loss_s={:.1f}", ref.str(), id.v,
                   reservation.job_class, loss_s);
         if (report != nullptr)
--- a/src/supply/preemption.h
+++ b/src/supply/preemption.h
@@ -36,9 +36,10 @@
     void expire();
     /// Whether the machine's tasks were asked to make room, not long ago.
     bool is_clearing(const MachineId& id) const { return clearing_.contains(id); }
-    /// The work that stopping all of a machine's tasks for the reservation would lose, in seconds; nothing
-    /// when they may not be stopped.
-    std::optional<double> loss_of(const MachineId& id, const sched::Reservation& reservation) const;
+    /// The work that making room for such tasks would lose by stopping others on the machine, in seconds;
+    /// nothing when they may not be stopped. Replicas of services stay, where there is room beside them.
+    std::optional<double> loss_of(const Bin& machine, const wire::JobSpec& spec,
+                                  const sched::Reservation& reservation) const;
     /// Clears as many of these machines as the `waiting` tasks of a job like `spec` lack. Returns how many
     /// more could be cleared without loss of work.
     std::size_t make_room(const std::vector<RatedBin>& machines, std::size_t waiting,
