--- a/src/jobs/ledger.cpp
+++ b/src/jobs/ledger.cpp
@@ -28,8 +28,9 @@
 constexpr Duration start_answer_limit = place_limit + std::chrono::seconds(1);
 constexpr Duration end_answer_limit = gather_ends_longest + std::chrono::seconds(6);
 constexpr std::size_t most_bytes =
-    std::size_t{48} * 1024;                   // of a transaction, well below the service's 64 KiB
-constexpr std::size_t most_sent = 256;        // operations in one message
+    std::size_t{48} * 1024;             // of a transaction, well below the service's 64 KiB
+constexpr std::size_t most_sent = 256;  // operations in one message
+constexpr std::size_t most_frozen_of_a_page = 2;
 constexpr std::size_t most_ops = 20'000;      // waiting at a home; more are refused
 constexpr std::size_t most_records = 60'000;  // bytes of records in a message
 }  // namespace
@@ -328,6 +329,35 @@
     }
 }
 
+// Each page keeps to half of its own tasks, the first rounding up: together they keep to half of all.
+TaskIndex Ledger::most_in_a_zone(std::uint32_t page, std::size_t tasks) {
+    const auto n = static_cast<TaskIndex>(tasks);
+    return page == 0 ? sched::spread_limit(n) : n / 2;
+}
+
+TaskIndex Ledger::placed_in(const std::vector<TaskState>& tasks, const std::string& zone) {
+    return static_cast<TaskIndex>(std::count_if(tasks.begin(), tasks.end(), [&](const auto& t) {
+        return t.at == TaskState::At::placed && t.zone == zone;
+    }));
+}
+
+// A page that became smaller may hold more tasks of a zone than its own half, from when it was part of a
+// larger one. Until enough of them have ended no other page may use up its half. Once a page keeps to its
+// half it does so for good, so that this needs no condition, only a model that shows the frozen pages as they
+// were left.
+bool Ledger::every_page_spread(const Job& j) const {
+    if (j.small_page_size == 0) return true;
+    if (model_.seen < j.version) return false;
+    return std::all_of(j.pages.begin(), j.pages.end(), [](const auto& entry) {
+        const auto& [n, page] = entry;
+        const TaskIndex most = most_in_a_zone(n, page.tasks.size());
+        return std::all_of(page.tasks.begin(), page.tasks.end(),
+                           [&, &tasks = page.tasks](const TaskState& t) {
+                               return t.at != TaskState::At::placed || placed_in(tasks, t.zone) <= most;
+                           });
+    });
+}
+
 // True when the operation changed `tasks`. Otherwise it is settled already, or may not be done.
 bool Ledger::apply(const Job& j, Op& op, std::vector<TaskState>& tasks, std::uint32_t page, TeamUse& use) {
     const std::size_t at = op.task - std::size_t{page} * model_.page_size(j);
@@ -353,13 +383,8 @@
         (team->gpu_max > 0 && use.gpu + j.spec.need.gpu > team->gpu_max))
         return false;
     if (j.spec.spread) {
-        // Each page keeps to half of its own tasks, the first rounding up: together they keep to half of all.
-        auto n = static_cast<TaskIndex>(tasks.size());
-        TaskIndex most = page == 0 ? sched::spread_limit(n) : n / 2;
-        auto there = std::count_if(tasks.begin(), tasks.end(), [&](const auto& o) {
-            return o.at == TaskState::At::placed && o.zone == op.zone;
-        });
-        if (there >= static_cast<std::int64_t>(most)) return false;
+        if (!every_page_spread(j) || placed_in(tasks, op.zone) >= most_in_a_zone(page, tasks.size()))
+            return false;
         t.zone = op.zone;
     }
     t.at = TaskState::At::placed;
@@ -400,7 +425,7 @@
 // tasks were in, or of all the job's pages where the zone is chosen.
 std::size_t Ledger::conditions_for(const Job* j) {
     if (j == nullptr) return 0;
-    const std::size_t own = 2 + std::min<std::size_t>(j->frozen_pages.size(), 2);
+    const std::size_t own = 2 + (j->small_page_size != 0 ? most_frozen_of_a_page : 0);
     return j->spec.one_zone ? std::max(own, 1 + Model::most_free_pages) : own;
 }
 
--- a/src/store/model.cpp
+++ b/src/store/model.cpp
@@ -263,6 +263,14 @@
 }  // namespace
 
 std::optional<Job> Model::decode_job(const Json& v) {
+    try {
+        return decode_job_record(v);
+    } catch (const Json::exception&) {
+        return std::nullopt;
+    }
+}
+
+std::optional<Job> Model::decode_job_record(const Json& v) {
     if (!v.is_object() || !v.contains("spec")) return std::nullopt;
     auto spec = wire::spec_from_json(v["spec"]);
     if (!spec) return std::nullopt;
--- a/src/store/model.h
+++ b/src/store/model.h
@@ -117,7 +117,10 @@
         return free ? std::nullopt : j.pinned_zone;
     }
     static constexpr std::size_t most_free_pages = 4;  // all are named in the commit's conditions
-    std::size_t pages_named_for_zone(const Job& j) const { return pages_of(j) + j.frozen_pages.size(); }
+    std::size_t pages_named_for_zone(const Job& j) const {
+        const std::size_t frozen = (j.spec.tasks + standard_page_size_ - 1) / standard_page_size_;
+        return pages_of(j) + (j.small_page_size != 0 ? frozen : 0);
+    }
     // Tasks in a page of the standard size. Every version of the program derives the same from the settings.
     std::uint32_t standard_page_size() const { return standard_page_size_; }
     // Tasks in a page whose record surely fits the strictest limits.
@@ -180,6 +183,7 @@
     Revision seen;  // everything up to this revision has been read
 
   private:
+    static std::optional<Job> decode_job_record(const Json& v);
     void apply_job(const JobId& id, const Item& item);
     void apply_page(const Item& item);
     void apply_standard_page(Job& j, std::uint32_t n, const Item& item);
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -407,6 +407,28 @@
     expect_rules(w);
 }
 
+class SpreadAcross : public testing::TestWithParam<int> {};
+// At most half of a job's tasks may be in one zone: also where its pages become smaller while the tasks of
+// one zone fill some of them.
+TEST_P(SpreadAcross, SmallerPages) {
+    World::Options o = shrinking(static_cast<std::uint64_t>(GetParam()) + 30);
+    o.zones = {"a", "b"};
+    o.capacity = 100;
+    o.production_nodes = {0};
+    World w(o);
+    w.run(4);
+    Json spread = w.job(id_of(1), 180, 0.25, 12);
+    spread["apart"] = true;
+    w.submit(spread);
+    w.run(14 + GetParam());
+    w.upgrade(0);
+    ASSERT_TRUE(reaches_level(w, zd::FormatLevel::small_pages, 10));
+    w.store.lower_limits(2048, 4, 30);
+    EXPECT_TRUE(told_all(w, {id_of(1)}, 300));
+    expect_rules(w);
+}
+INSTANTIATE_TEST_SUITE_P(Moments, SpreadAcross, testing::Range(0, 4));
+
 // The changes a second drop by half under a backlog: refused ones are few, and the work goes on.
 TEST(Upgrade, WriteRateHalvedUnderLoad) {
     World::Options o = shrinking(9);
