--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -536,7 +536,9 @@
         out.whole = job->spec.shape == wire::Shape::gang;
         const auto bound = model_.bound_zone(*job);
         auto candidates = candidates_for(ask, *job, bound);
-        out.offers = sched::rank(candidates, ask.need, ask.tasks.size(), job->spec.one_zone && !bound);
+        const bool stays = job->spec.shape == wire::Shape::service;
+        out.offers = sched::rank(candidates, ask.need, ask.tasks.size(), job->spec.one_zone && !bound,
+                                 stays ? sched::Fit::least_room : sched::Fit::most_room);
         counts_.offers += out.offers.size();
         hold(ask.round, ask.need, out.offers);
     }
--- a/src/sched/logic.cpp
+++ b/src/sched/logic.cpp
@@ -64,18 +64,19 @@
     return less;
 }
 
-std::int64_t score(const Candidate& c, const Room& need, const Room& largest) {
+std::int64_t score(const Candidate& c, const Room& need, const Room& largest, Fit fit) {
     auto share = [](std::int64_t left, std::int64_t of) { return of > 0 ? left * 1000 / of : 0; };
     std::int64_t room = share(c.free.cpu - need.cpu, largest.cpu) + share(c.free.ram - need.ram, largest.ram);
-    if (need.gpu > 0)
+    if (need.gpu > 0 || fit == Fit::least_room)
         room += share(c.free.gpu - need.gpu, largest.gpu);
     else
         room -= 4 * share(c.free.gpu, largest.gpu);  // GPUs are for those who need them
+    if (fit == Fit::least_room) room = -room;
     return (c.has_image ? 100'000 : 0) + room - 1'000'000 * std::int64_t{c.penalty};
 }
 
 std::vector<wire::Offer> rank(std::vector<Candidate>& candidates, const Room& need, std::size_t tasks,
-                              bool each_zone) {
+                              bool each_zone, Fit fit) {
     Room largest;
     for (const auto& c : candidates) {
         largest.cpu = std::max(largest.cpu, c.total.cpu);
@@ -86,7 +87,7 @@
     std::priority_queue<std::pair<std::int64_t, std::size_t>> best;
     const std::size_t n = candidates.size();
     auto enter = [&](std::size_t i) {
-        if (candidates[i].free.fits(need)) best.emplace(score(candidates[i], need, largest), n - i);
+        if (candidates[i].free.fits(need)) best.emplace(score(candidates[i], need, largest, fit), n - i);
     };
     for (std::size_t i = 0; i < n; ++i) enter(i);
     std::vector<wire::Offer> offers;
--- a/src/sched/logic.h
+++ b/src/sched/logic.h
@@ -22,6 +22,7 @@
 
 // How many tasks with this need the room takes.
 std::size_t tasks_that_fit(const Room& room, const Room& need);
+// Whether a task of the job fits the type, and may run on it.
 bool type_allowed(const wire::JobSpec& s, const wire::MachineType& t);
 // GPUs are kept for those who need them, as long as another type would do.
 bool worth_using(const wire::JobSpec& s, const wire::MachineType& t,
@@ -49,13 +50,18 @@
 bool has_less_choice(const wire::JobSpec& a, const wire::JobSpec& b,
                      const std::vector<wire::MachineType>& types);
 
-// Holders of the image first, then the most free room once the task is there.
-std::int64_t score(const Candidate& c, const Room& need, const Room& largest);
+// Which of several machines with room is preferred. Replicas of services stay for long: beside other work,
+// where they leave the least room over, they keep the fewest machines from larger tasks, and from being
+// returned.
+enum class Fit : std::uint8_t { most_room, least_room };
+
+// Holders of the image first, then by the free room once the task is there.
+std::int64_t score(const Candidate& c, const Room& need, const Room& largest, Fit fit = Fit::most_room);
 
 // Up to `tasks` offers, best first, or up to so many from each zone; the room of each is taken from the
 // candidates.
 std::vector<wire::Offer> rank(std::vector<Candidate>& candidates, const Room& need, std::size_t tasks,
-                              bool each_zone = false);
+                              bool each_zone = false, Fit fit = Fit::most_room);
 
 // Tasks of a `spread` job that one zone may hold: of these tasks, and of those on one page.
 TaskIndex spread_limit(TaskIndex tasks);
