Free places are kept beside each image of a service, and its machines are asked to check in at once

The places kept were on machines with the most images asked for together, and none for the rarer ones. Now each image asked for by a tenth or more has places for a largest job beside it, and a machine with a replica to start is asked to check in unless it will within 0.2 s.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -17,9 +17,11 @@
 constexpr std::size_t few_machines = 5;                         // whose silence together is no chance
 constexpr std::size_t most_prompts = 64;                        // under way at once
 constexpr double prompt_every_leases = 0.51;                    // a worker heeds one in half of a lease
-constexpr Duration worth_prompting = std::chrono::seconds(2);   // a check-in expected sooner is waited for
-constexpr double save_margin_s = 3;                             // beyond what a task needs to save
-constexpr int most_orders = 2;  // answers with the same run before it is given up
+// A check-in expected sooner is waited for; a replica of a service, wanted at once, hardly waits.
+constexpr Duration worth_prompting = std::chrono::seconds(2);
+constexpr Duration worth_prompting_for_service = std::chrono::milliseconds(200);
+constexpr double save_margin_s = 3;  // beyond what a task needs to save
+constexpr int most_orders = 2;       // answers with the same run before it is given up
 // Two clocks may each be off by 0.05%; the rest covers the timer's own step.
 Duration surely_lapsed(double lease_s) { return seconds(lease_s * 1.002) + millis(100); }
 }  // namespace
@@ -635,10 +637,11 @@
     const Mono now = env_.now();
     const auto mine = cluster_.term_of(id);
     const Duration expected = m.last_heard + seconds(settings_.report_s) - now;
+    const Duration worth = starts_service(id, m) ? worth_prompting_for_service : worth_prompting;
     const bool too_soon =
         m.prompted != Mono{} && now - m.prompted < seconds(settings_.lease_s * prompt_every_leases);
-    if (!mine || !m.hears || m.term_of_proof != *mine || m.address.empty() || expected < worth_prompting ||
-        too_soon || prompting_ >= most_prompts || m.token_count == wire::Token::most_count)
+    if (!mine || !m.hears || m.term_of_proof != *mine || m.address.empty() || expected < worth || too_soon ||
+        prompting_ >= most_prompts || m.token_count == wire::Token::most_count)
         return;
     m.prompted = now;
     ++m.token_count;
@@ -648,6 +651,16 @@
               seconds(2), [this](const HttpResponse&) { --prompting_; });
 }
 
+// A replica was committed to the machine and not yet ordered to run there.
+bool Fleet::starts_service(const MachineId& id, const Machine& m) const {
+    const auto& placed = model_.on_machine(id);
+    return std::any_of(placed.begin(), placed.end(), [&](const TaskRef& ref) {
+        const Job* job = model_.job(ref.job);
+        return job != nullptr && job->spec.shape == wire::Shape::service &&
+               !m.told.contains({ref, model_.task(ref).attempt});
+    });
+}
+
 wire::Token Fleet::token_for(const MachineId& id, Term mine) const {
     const auto m = machines_.find(id);
     const bool counted = m != machines_.end() && m->second.term_of_proof == mine;
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -139,6 +139,7 @@
     void answer(const MachineId& id);
     void deliver_soon(const MachineId& id);
     void prompt_check_in(const MachineId& id, Machine& m);
+    bool starts_service(const MachineId& id, const Machine& m) const;
     wire::Token token_for(const MachineId& id, Term mine) const;
     bool worth_waiting(const MachineId& id, const Machine& m, const wire::Report& r) const;
     void take_report(Machine& m, const wire::Report& r, Term mine, bool checkin);
--- a/src/supply/arrivals.cpp
+++ b/src/supply/arrivals.cpp
@@ -31,6 +31,12 @@
     return machines / window_s(now);
 }
 
+std::size_t ArrivalStatistics::largest() const {
+    std::size_t most = 0;
+    for (const auto& [key, arrival] : arrivals_) most = std::max<std::size_t>(most, arrival.machines);
+    return most;
+}
+
 std::map<std::string, double> ArrivalStatistics::image_shares() const {
     std::map<std::string, double> shares;
     double total = 0;
--- a/src/supply/arrivals.h
+++ b/src/supply/arrivals.h
@@ -1,5 +1,6 @@
 /// Arrival statistics of one job class.
 #pragma once
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -25,6 +26,8 @@
     /// Machines that are asked for in a second. A gang asks for one for each of its tasks, an array for one;
     /// of a service, the places for its replicas.
     double machines_per_s(WallMs now) const;
+    /// The most machines, or places, that one of the jobs asks for.
+    std::size_t largest() const;
     /// The share of each image in the machines asked for.
     std::map<std::string, double> image_shares() const;
 
--- a/src/supply/class_reservations.cpp
+++ b/src/supply/class_reservations.cpp
@@ -10,6 +10,7 @@
 constexpr double no_aim_s = 1e9;
 constexpr double short_aim_boots = 1.5;  // an aim below so many boot times needs machines that stand ready
 constexpr double save_share_of_aim = 0.4, max_save_s = 10;
+constexpr double min_image_share = 0.1;  // of what a service class asks for, to keep places beside the image
 constexpr double min_standby_limit = 50;
 constexpr double standby_share = 0.25;  // of all machines
 
@@ -76,8 +77,14 @@
     };
     const std::size_t waiting = waiting_tasks(spec.job_class);
     std::size_t missing = waiting + standby_places(arrivals, *type, now);
-    for (const RatedBin& rated : bins_with_places(arrivals)) {
+    const std::vector<RatedBin> with_places = bins_with_places(arrivals);
+    for (Bin* bin : image_holders(with_places, arrivals)) {
+        keep(bin);
+        missing -= std::min(missing, free_places(*bin, spec));
+    }
+    for (const RatedBin& rated : with_places) {
         if (missing == 0) return std::nullopt;
+        if (rated.bin->reserved) continue;
         keep(rated.bin);
         missing -= std::min(missing, free_places(*rated.bin, spec));
     }
@@ -100,7 +107,7 @@
     if (policy_.reserve <= 0) return 0;
     const wire::JobSpec& spec = arrivals.latest_spec();
     const double boot_s = type.boot_s + spec.image_gb / type.fetch_gb_per_s;
-    return static_cast<std::size_t>(std::ceil(arrivals.machines_per_s(now) * boot_s)) + spec.tasks;
+    return static_cast<std::size_t>(std::ceil(arrivals.machines_per_s(now) * boot_s)) + arrivals.largest();
 }
 
 // How many such tasks could start on the machine now, beside what runs.
@@ -127,6 +134,26 @@
     return rated;
 }
 
+// For each image that the class often asks for the first few of these machines that hold it, until they have
+// places for a largest job.
+std::set<Bin*> ClassReservations::image_holders(const std::vector<RatedBin>& with_places,
+                                                const ArrivalStatistics& arrivals) const {
+    const wire::JobSpec& spec = arrivals.latest_spec();
+    std::set<Bin*> holders;
+    for (const auto& [image, share] : arrivals.image_shares()) {
+        if (share < min_image_share) continue;
+        std::size_t places = 0;
+        for (const RatedBin& rated : with_places) {
+            if (places >= arrivals.largest()) break;
+            const wire::MachineType* type = model_.type(rated.bin->type);
+            if (!model_.holds_image(rated.bin->id, image, type->cache_gb)) continue;
+            holders.insert(rated.bin);
+            places += free_places(*rated.bin, spec);
+        }
+    }
+    return holders;
+}
+
 bool ClassReservations::may_reserve(const Bin& bin, const wire::MachineType* type,
                                     const wire::JobSpec& spec) const {
     return !bin.id.empty() && !bin.reserved && type != nullptr && type->room.fits(spec.need) &&
--- a/src/supply/class_reservations.h
+++ b/src/supply/class_reservations.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -40,6 +41,8 @@
                                WallMs now) const;
     static std::size_t free_places(const Bin& bin, const wire::JobSpec& spec);
     std::vector<RatedBin> bins_with_places(const ArrivalStatistics& arrivals);
+    std::set<Bin*> image_holders(const std::vector<RatedBin>& with_places,
+                                 const ArrivalStatistics& arrivals) const;
     bool may_reserve(const Bin& bin, const wire::MachineType* type, const wire::JobSpec& spec) const;
     struct RatedBins {
         std::vector<RatedBin> bins;
