--- a/src/sched/logic.cpp
+++ b/src/sched/logic.cpp
@@ -36,7 +36,7 @@
 
 bool may_use(const wire::JobSpec& s, const Reservation& r) {
     if (!r.job.empty()) return s.id == r.job;
-    return s.job_class == r.job_class || yields(s, r);
+    return (s.job_class == r.job_class && s.rank <= r.rank) || yields(s, r);
 }
 
 bool machine_allowed(const wire::JobSpec& s, const std::optional<std::string>& pin, const std::string& type,
--- a/src/supply/class_reservations.cpp
+++ b/src/supply/class_reservations.cpp
@@ -41,7 +41,7 @@
     const double aim_s = wait_aim_s(job_class);
     if (type == nullptr || aim_s > type->boot_s * short_aim_boots || arrivals.empty()) return std::nullopt;
     const std::size_t machines_ready = standby(arrivals, *type, now);
-    const std::size_t waiting = waiting_tasks(job_class);
+    const std::size_t waiting = waiting_tasks(spec);
     sched::Reservation reservation{job_class, spec.rank, std::min(aim_s * save_share_of_aim, max_save_s), {}};
     auto [bins, running] = rate_bins(arrivals, reservation);
     bins.resize(std::min(running + waiting + machines_ready, bins.size()));
@@ -75,7 +75,7 @@
         bin->reserved = reservation;
         reserved[bin->id] = reservation;
     };
-    const std::size_t waiting = waiting_tasks(spec.job_class);
+    const std::size_t waiting = waiting_tasks(spec);
     std::size_t missing = waiting + standby_places(arrivals, *type, now);
     const std::vector<RatedBin> with_places = bins_with_places(arrivals);
     for (Bin* bin : image_holders(with_places, arrivals)) {
@@ -187,10 +187,13 @@
     return static_cast<std::size_t>(std::clamp(expected, least, most));
 }
 
-std::size_t ClassReservations::waiting_tasks(const std::string& job_class) const {
+// Of the class, replicas of services or other work, as `spec` is.
+std::size_t ClassReservations::waiting_tasks(const wire::JobSpec& spec) const {
+    const auto is_service = [](const wire::JobSpec& s) { return s.shape == wire::Shape::service; };
     std::size_t waiting = 0;
     for (const Demand& demand : plan_.demands)
-        if (demand.spec->job_class == job_class) waiting += demand.tasks;
+        if (demand.spec->job_class == spec.job_class && is_service(*demand.spec) == is_service(spec))
+            waiting += demand.tasks;
     return waiting;
 }
 
--- a/src/supply/class_reservations.h
+++ b/src/supply/class_reservations.h
@@ -52,7 +52,7 @@
     const wire::MachineType* cheapest_type(const wire::JobSpec& spec) const;
     double wait_aim_s(const std::string& job_class) const;
     std::size_t standby(const ArrivalStatistics& arrivals, const wire::MachineType& type, WallMs now) const;
-    std::size_t waiting_tasks(const std::string& job_class) const;
+    std::size_t waiting_tasks(const wire::JobSpec& spec) const;
     RatedBins rate_bins(const ArrivalStatistics& arrivals, const sched::Reservation& reservation);
     double rate(const Bin& bin, const wire::MachineType& type, const wire::JobSpec& spec, bool runs_class,
                 const std::map<std::string, double>& image_shares,
--- a/src/supply/reservations.cpp
+++ b/src/supply/reservations.cpp
@@ -26,9 +26,9 @@
         GangReservations(settings_, model_, preemptor_, reserved_, plan.bins).reserve(now);
     ClassReservations classes(settings_, policy_, model_, preemptor_, reserved_, plan);
     std::vector<Demand> standby;
-    for (auto& [job_class, arrivals] : arrivals_) {
+    for (auto& [kind, arrivals] : arrivals_) {
         arrivals.expire(now);
-        if (auto demand = classes.reserve(job_class, arrivals, now, reserved))
+        if (auto demand = classes.reserve(kind.job_class, arrivals, now, reserved))
             standby.push_back(std::move(*demand));
     }
     // Added last: until here the demands are those of waiting tasks alone.
@@ -38,7 +38,8 @@
 
 void ReservationPlanner::record_arrivals() {
     for (const auto& [id, job] : model_.jobs())
-        if (!job.cancelled) arrivals_[job.spec.job_class].record(job);
+        if (!job.cancelled)
+            arrivals_[{job.spec.job_class, job.spec.shape == wire::Shape::service}].record(job);
 }
 
 void ReservationPlanner::announce() const {
--- a/src/supply/reservations.h
+++ b/src/supply/reservations.h
@@ -38,7 +38,13 @@
     const Model& model_;
     SendPeer send_;
     Preemptor preemptor_;
-    std::map<std::string, ArrivalStatistics> arrivals_;  // by job class
+    // What is kept for replicas of services is apart from what is kept for other work of their class.
+    struct WorkKind {
+        std::string job_class;
+        bool service = false;
+        auto operator<=>(const WorkKind&) const = default;
+    };
+    std::map<WorkKind, ArrivalStatistics> arrivals_;
     ReservationMap reserved_;
 };
 
