--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -47,7 +47,7 @@
         expect_recovery(w, ids);
     }
 }
-INSTANTIATE_TEST_SUITE_P(Seeds, ZoneCut, testing::Range<std::uint64_t>(1, 5));
+INSTANTIATE_TEST_SUITE_P(Seeds, ZoneCut, testing::Range<std::uint64_t>(1, 13));
 
 // Jobs bound to one zone, arrays too, lose machines there, and the zone gives no more: they go on elsewhere.
 TEST(Meeting, OneZoneJobsLoseTheirMachines) {
