--- a/src/jobs/api.cpp
+++ b/src/jobs/api.cpp
@@ -4,6 +4,7 @@
 
 #include "base/log.h"
 #include "sched/logic.h"
+#include "store/records.h"
 
 namespace zd {
 namespace {
@@ -99,7 +100,7 @@
         Found f;
         if (g.outcome == Outcome::ok) {
             model_.apply({keys::job(id), g.value, g.version});
-            if (auto j = Model::decode_job(g.value)) {
+            if (auto j = records::decode_job(g.value)) {
                 f.what = Found::What::live;
                 j->version = g.version;
                 f.job = std::move(*j);
--- a/src/jobs/ledger.cpp
+++ b/src/jobs/ledger.cpp
@@ -6,6 +6,8 @@
 #include "base/log.h"
 #include "cluster/format_level.h"
 #include "sched/logic.h"
+#include "sched/spread.h"
+#include "store/records.h"
 
 namespace zd {
 namespace {
@@ -329,35 +331,6 @@
     }
 }
 
-// Each page keeps to half of its own tasks, the first rounding up: together they keep to half of all.
-TaskIndex Ledger::most_in_a_zone(std::uint32_t page, std::size_t tasks) {
-    const auto n = static_cast<TaskIndex>(tasks);
-    return page == 0 ? sched::spread_limit(n) : n / 2;
-}
-
-TaskIndex Ledger::placed_in(const std::vector<TaskState>& tasks, const std::string& zone) {
-    return static_cast<TaskIndex>(std::count_if(tasks.begin(), tasks.end(), [&](const auto& t) {
-        return t.at == TaskState::At::placed && t.zone == zone;
-    }));
-}
-
-// A page that became smaller may hold more tasks of a zone than its own half, from when it was part of a
-// larger one. Until enough of them have ended no other page may use up its half. Once a page keeps to its
-// half it does so for good, so that this needs no condition, only a model that shows the frozen pages as they
-// were left.
-bool Ledger::every_page_spread(const Job& j) const {
-    if (j.small_page_size == 0) return true;
-    if (model_.seen < j.version) return false;
-    return std::all_of(j.pages.begin(), j.pages.end(), [](const auto& entry) {
-        const auto& [n, page] = entry;
-        const TaskIndex most = most_in_a_zone(n, page.tasks.size());
-        return std::all_of(page.tasks.begin(), page.tasks.end(),
-                           [&, &tasks = page.tasks](const TaskState& t) {
-                               return t.at != TaskState::At::placed || placed_in(tasks, t.zone) <= most;
-                           });
-    });
-}
-
 // True when the operation changed `tasks`. Otherwise it is settled already, or may not be done.
 bool Ledger::apply(const Job& j, Op& op, std::vector<TaskState>& tasks, std::uint32_t page, TeamUse& use) {
     const std::size_t at = op.task - std::size_t{page} * model_.page_size(j);
@@ -383,7 +356,9 @@
         (team->gpu_max > 0 && use.gpu + j.spec.need.gpu > team->gpu_max))
         return false;
     if (j.spec.spread) {
-        if (!every_page_spread(j) || placed_in(tasks, op.zone) >= most_in_a_zone(page, tasks.size()))
+        // Whether every page is spread is known once the model shows the frozen pages as they were left.
+        const bool known = j.small_page_size == 0 || model_.seen >= j.version;
+        if (!known || !sched::every_page_spread(j) || !sched::zone_has_room(tasks, page, op.zone))
             return false;
         t.zone = op.zone;
     }
@@ -485,11 +460,12 @@
 // Whether the page can be written as it is stored now. From the first format level on, or once the service
 // has refused a value for its size, none is larger than the strictest limit that the settings announce.
 bool Ledger::fits_a_record(const PageKey& page, const Job& j, const std::vector<TaskState>& tasks) {
+    if (tasks.size() <= model_.safe_page_size()) return true;
     const bool keep_to_strictest =
         model_.format_level() >= FormatLevel::small_pages || store_.refused_a_value();
     const StateLimits& limits = keep_to_strictest ? settings_.strictest_limits : settings_.state_limits;
     const std::size_t first = std::size_t{page.page} * model_.page_size(j);
-    return Model::encode_page(tasks, first).dump().size() <= limits.value_bytes();
+    return records::encode_page(tasks, first).dump().size() <= limits.value_bytes();
 }
 
 // Adds what may be done of `ops` to the draft; what has to wait is left in `later`.
@@ -574,7 +550,7 @@
                       });
     constexpr std::size_t writes_of_an_end = 2;
     if (!over || j.cancelled || d.txn.writes.size() + writes_of_an_end > settings_.strictest_limits.txn_ops) {
-        Json v = Model::encode_page(tasks, std::size_t{page.page} * model_.page_size(j));
+        Json v = records::encode_page(tasks, std::size_t{page.page} * model_.page_size(j));
         d.bytes += v.dump().size();
         d.txn.writes.push_back({page_key, std::move(v), std::nullopt});
         return;
--- a/src/jobs/ledger.h
+++ b/src/jobs/ledger.h
@@ -133,9 +133,6 @@
         std::vector<Op> used, later;   // done in this draft, left for another
     };
     Applied apply_all(Draft& d, const PageKey& page, const Job* j, std::vector<Op> ops);
-    static TaskIndex most_in_a_zone(std::uint32_t page, std::size_t tasks);
-    static TaskIndex placed_in(const std::vector<TaskState>& tasks, const std::string& zone);
-    bool every_page_spread(const Job& j) const;
     bool fits_a_record(const PageKey& page, const Job& j, const std::vector<TaskState>& tasks);
     void put_back(const JobId& job, Op op, Duration pause);
     void resize_pages(const Job& j);
--- /dev/null
+++ b/src/sched/spread.cpp
@@ -0,0 +1,37 @@
+#include "sched/spread.h"
+
+#include <algorithm>
+
+#include "sched/logic.h"
+
+namespace zd::sched {
+namespace {
+TaskIndex most_in_a_zone(std::uint32_t page, std::size_t tasks) {
+    const auto n = static_cast<TaskIndex>(tasks);
+    return page == 0 ? spread_limit(n) : n / 2;
+}
+
+TaskIndex placed_in(const std::vector<TaskState>& tasks, const std::string& zone) {
+    return static_cast<TaskIndex>(std::count_if(tasks.begin(), tasks.end(), [&](const auto& t) {
+        return t.at == TaskState::At::placed && t.zone == zone;
+    }));
+}
+}  // namespace
+
+bool zone_has_room(const std::vector<TaskState>& page_tasks, std::uint32_t page, const std::string& zone) {
+    return placed_in(page_tasks, zone) < most_in_a_zone(page, page_tasks.size());
+}
+
+bool every_page_spread(const Job& j) {
+    if (j.small_page_size == 0) return true;
+    return std::all_of(j.pages.begin(), j.pages.end(), [](const auto& entry) {
+        const auto& [n, page] = entry;
+        const TaskIndex most = most_in_a_zone(n, page.tasks.size());
+        return std::all_of(page.tasks.begin(), page.tasks.end(),
+                           [&, &tasks = page.tasks](const TaskState& t) {
+                               return t.at != TaskState::At::placed || placed_in(tasks, t.zone) <= most;
+                           });
+    });
+}
+
+}  // namespace zd::sched
--- a/src/store/model.cpp
+++ b/src/store/model.cpp
@@ -5,38 +5,15 @@
 #include <algorithm>
 
 #include "base/log.h"
+#include "store/records.h"
 
 namespace zd {
 
-namespace {
-constexpr std::size_t page_prefix_size = 4;  // "z/t/" and "z/r/"
-}
-
-namespace keys {
-std::string job(const JobId& id) { return "z/j/" + id.v; }
-std::string page(const JobId& id, std::uint32_t n) { return "z/t/" + id.v + "/" + std::to_string(n); }
-std::string small_page(const JobId& id, std::uint32_t n) { return "z/r/" + id.v + "/" + std::to_string(n); }
-std::string final_state(const JobId& id) { return "f/" + id.v; }
-std::string node(const NodeName& n) { return "z/n/" + n.v; }
-std::string part(std::uint32_t k) { return "z/p/" + std::to_string(k); }
-std::string team(const TeamName& t) { return "z/q/" + t.v; }
-std::string known_format(const NodeName& n) { return "z/v/" + n.v; }
-JobId job_of_page(const std::string& key) {
-    if (key.rfind("z/t/", 0) != 0 && key.rfind("z/r/", 0) != 0) return {};
-    const auto slash = key.rfind('/');
-    return JobId(slash > page_prefix_size ? key.substr(page_prefix_size, slash - page_prefix_size) : "");
-}
-}  // namespace keys
-
 namespace {
 // The longest entry of a placed task: index, attempt, machine and zone with their punctuation.
 constexpr std::size_t entry_bytes = 40, page_overhead = 400;
 constexpr std::size_t most_called_off = 20'000;
 constexpr std::size_t most_image_holders = 8192, most_images = 48;
-// Where a controller of an earlier version called a replica done, its attempt is lost. The next one is above
-// any that it may have had.
-constexpr Attempt above_lost_attempt = 1'000'000;
-constexpr int small_pages_layout = 1;  // in a job's record: its pages are of the size that the record names
 
 // Tasks whose entries surely fit a value of that size.
 std::uint32_t page_size_for(const StateLimits& limits) {
@@ -69,15 +46,6 @@
     if (on_jobs) on_jobs();
 }
 
-void Page::count() {
-    const auto in = [&](TaskState::At at) {
-        return static_cast<TaskIndex>(
-            std::count_if(tasks.begin(), tasks.end(), [&](const auto& t) { return t.at == at; }));
-    };
-    placed = in(TaskState::At::placed);
-    done = in(TaskState::At::done);
-}
-
 Revision Model::version(const std::string& key) const {
     auto it = present_.find(key);
     return it != present_.end() && it->second ? versions_.at(key) : Revision{};
@@ -167,123 +135,8 @@
     return it != j.pages.end() ? it->second.tasks : std::vector<TaskState>(tasks_in(j, page));
 }
 
-Json Model::encode_page(const std::vector<TaskState>& tasks, std::size_t first) {
-    Json placed = Json::array(), tried = Json::array();
-    std::string done((tasks.size() + 3) / 4, '0');
-    bool any_done = false;
-    for (std::size_t i = 0; i < tasks.size(); ++i) {
-        const TaskState& t = tasks[i];
-        const std::size_t index = i + first;
-        if (t.at == TaskState::At::placed) {
-            Json e = {index, t.attempt, t.machine.v};
-            if (!t.zone.empty()) e.push_back(t.zone);
-            placed.push_back(std::move(e));
-        } else if (t.at == TaskState::At::done) {
-            any_done = true;
-            char& c = done[i / 4];
-            int digit = (c <= '9' ? c - '0' : c - 'a' + 10) | (1 << (i % 4));
-            c = "0123456789abcdef"[digit];
-        } else if (t.attempt > 0) {
-            tried.push_back({index, t.attempt});
-        }
-    }
-    Json v = Json::object();
-    if (!placed.empty()) v["p"] = std::move(placed);
-    if (!tried.empty()) v["t"] = std::move(tried);
-    if (any_done) v["d"] = std::move(done);
-    return v;
-}
-
-std::optional<std::vector<TaskState>> Model::decode_page(const Json& v, const Job& j, std::size_t first,
-                                                         TaskIndex count) {
-    std::vector<TaskState> tasks(count);
-    const bool is_service = j.spec.shape == wire::Shape::service;
-    try {
-        auto slot = [&](const Json& e) -> TaskState& { return tasks.at(e.at(0).get<std::size_t>() - first); };
-        if (v.contains("p"))
-            for (const auto& e : v["p"]) {
-                TaskState& t = slot(e);
-                t = {TaskState::At::placed, e.at(1).get<Attempt>(), MachineId(e.at(2).get<std::string>()),
-                     ""};
-                if (e.size() > 3) t.zone = e.at(3).get<std::string>();
-            }
-        if (v.contains("t"))
-            for (const auto& e : v["t"]) slot(e).attempt = e.at(1).get<Attempt>();
-        if (v.contains("d")) {
-            const auto& hex = v["d"].get_ref<const std::string&>();
-            for (std::size_t i = 0; i < tasks.size() && i / 4 < hex.size(); ++i) {
-                char c = hex[i / 4];
-                int digit = c <= '9' ? c - '0' : c - 'a' + 10;
-                if ((digit >> (i % 4) & 1) == 0) continue;
-                // A replica is never done: it has to run again.
-                if (is_service)
-                    tasks[i].attempt = above_lost_attempt;
-                else
-                    tasks[i].at = TaskState::At::done;
-            }
-        }
-    } catch (const std::exception& e) {
-        log::error("event=bad_record job={} first_task={} why={}", j.spec.id.v, first, e.what());
-        return std::nullopt;
-    }
-    return tasks;
-}
-
 Json Model::encode_job(const Job& j) const {
-    Json v = {{"spec", wire::spec_to_json(j.spec)}, {"at", j.submitted.v}, {"relay", j.relay.v}};
-    if (j.cancelled) v["x"] = true;
-    if (j.pinned_zone) v["pin"] = *j.pinned_zone;
-    if (j.small_page_size != 0) v["pages"] = {{"layout", small_pages_layout}, {"size", j.small_page_size}};
-    if (v.dump().size() <= settings_.strictest_limits.value_bytes()) return v;
-    // Accepted under larger limits, it must still be possible to cancel it and to hand it on. Only the list
-    // of allowed types can be so long; it need not name what no cloud rents, nor anything twice.
-    if (!j.spec.types || types_.empty()) return v;
-    wire::JobSpec spec = j.spec;
-    spec.types->clear();
-    for (const auto& known : types_)
-        if (std::find(j.spec.types->begin(), j.spec.types->end(), known.name) != j.spec.types->end())
-            spec.types->push_back(known.name);
-    v["spec"] = wire::spec_to_json(spec);
-    return v;
-}
-
-namespace {
-// Nothing when the record's pages are of a layout that this version doesn't know.
-std::optional<std::uint32_t> small_page_size_in(const Json& record) {
-    const auto pages = record.find("pages");
-    if (pages == record.end()) return 0;
-    if (!pages->is_object()) return std::nullopt;
-    const auto layout = pages->find("layout"), size = pages->find("size");
-    if (layout == pages->end() || *layout != small_pages_layout) return std::nullopt;
-    if (size == pages->end() || !size->is_number_unsigned()) return std::nullopt;
-    const auto tasks = size->get<std::uint64_t>();
-    if (tasks < 1 || tasks > wire::max_tasks) return std::nullopt;
-    return static_cast<std::uint32_t>(tasks);
-}
-}  // namespace
-
-std::optional<Job> Model::decode_job(const Json& v) {
-    try {
-        return decode_job_record(v);
-    } catch (const Json::exception&) {
-        return std::nullopt;
-    }
-}
-
-std::optional<Job> Model::decode_job_record(const Json& v) {
-    if (!v.is_object() || !v.contains("spec")) return std::nullopt;
-    auto spec = wire::spec_from_json(v["spec"]);
-    if (!spec) return std::nullopt;
-    Job j;
-    j.spec = std::move(*spec);
-    j.submitted = WallMs{v.value("at", std::int64_t{0})};
-    j.relay = NodeName(v.value("relay", ""));
-    j.cancelled = v.value("x", false);
-    if (v.contains("pin")) j.pinned_zone = v["pin"].get<std::string>();
-    const auto small_page_size = small_page_size_in(v);
-    if (!small_page_size) return std::nullopt;
-    j.small_page_size = *small_page_size;
-    return j;
+    return records::encode_job(j, types_, settings_.strictest_limits.value_bytes());
 }
 
 void Model::apply(const Item& item) {
@@ -345,7 +198,7 @@
         if (on_job) on_job(id);
         return;
     }
-    auto decoded = decode_job(*item.value);
+    auto decoded = records::decode_job(*item.value);
     if (!decoded) {
         log::error("event=bad_record job={}", id.v);
         return;
@@ -429,7 +282,8 @@
 void Model::apply_standard_page(Job& j, std::uint32_t n, const Item& item) {
     const std::uint32_t first = n * standard_page_size_;
     if (first >= j.spec.tasks) return;
-    auto tasks = decode_page(*item.value, j, first, std::min(standard_page_size_, j.spec.tasks - first));
+    auto tasks =
+        records::decode_page(*item.value, j, first, std::min(standard_page_size_, j.spec.tasks - first));
     if (!tasks) return;
     if (j.small_page_size == 0) return set_page(j, n, std::move(*tasks), item.version);
     const std::uint32_t end = first + static_cast<std::uint32_t>(tasks->size());
@@ -443,7 +297,7 @@
     // The record that tells the pages' size is still to come, and the watch brings this one again after it.
     if (j.small_page_size == 0) return forget_version(item.key);
     if (n >= pages_of(j)) return;
-    if (auto tasks = decode_page(*item.value, j, std::size_t{n} * j.small_page_size, tasks_in(j, n)))
+    if (auto tasks = records::decode_page(*item.value, j, std::size_t{n} * j.small_page_size, tasks_in(j, n)))
         set_page(j, n, std::move(*tasks), item.version);
 }
 
--- a/src/store/model.h
+++ b/src/store/model.h
@@ -12,46 +12,13 @@
 
 #include "base/settings.h"
 #include "base/types.h"
+#include "store/job.h"
+#include "store/keys.h"
 #include "store/store.h"
 #include "wire/json_api.h"
 
 namespace zd {
 
-struct TaskState {
-    enum class At : std::uint8_t { pending, placed, done } at = At::pending;
-    Attempt attempt = 0;  // placed: the present one; pending: the last that ended
-    MachineId machine;
-    std::string zone;  // of the machine, where the job asks to be spread
-    bool operator==(const TaskState&) const = default;
-};
-
-struct Page {
-    Revision version;  // 0: not written yet, all pending
-    std::vector<TaskState> tasks;
-    TaskIndex placed = 0, done = 0;
-    void count();  // sets the two from `tasks`
-};
-
-// One unfinished job.
-//
-// Its tasks are stored in pages. A page of production's size (Model::standard_page_size) may be too large a
-// value after the state service has lowered its limits. The job's record then names a smaller page size, once
-// and for good: the pages written until then are frozen, and a smaller page takes precedence over its range
-// of them from its first write on (docs/design.md, "Upgrade").
-struct Job {
-    wire::JobSpec spec;
-    Revision version;
-    bool cancelled = false;
-    NodeName relay;
-    WallMs submitted;
-    std::optional<std::string> pinned_zone;  // for one_zone jobs: where its tasks are, or are expected to go
-    std::uint32_t small_page_size = 0;       // 0: pages are of the standard size
-    std::map<std::uint32_t, Page> pages;
-    std::map<std::uint32_t, Page> frozen_pages;  // of the standard size, where `pages` are smaller
-    TaskIndex placed = 0, done = 0;
-    TaskIndex pending() const { return spec.tasks - placed - done; }
-};
-
 struct Part {
     NodeName owner;
     Term term;
@@ -60,24 +27,6 @@
     std::int64_t cpu = 0, gpu = 0;
 };
 
-namespace keys {
-inline const std::string live = "z/";
-std::string job(const JobId& id);
-std::string page(const JobId& id, std::uint32_t n);
-std::string small_page(const JobId& id, std::uint32_t n);
-std::string final_state(const JobId& id);
-std::string node(const NodeName& n);
-std::string part(std::uint32_t k);
-std::string team(const TeamName& t);
-inline const std::string supplier = "z/s";
-inline const std::string types = "z/f";
-// What a controller's version of the program understands, and the format level that the fleet writes.
-std::string known_format(const NodeName& n);
-inline const std::string format_level = "z/l";
-// The job whose page this is the key of; empty for other keys.
-JobId job_of_page(const std::string& key);
-}  // namespace keys
-
 class Model {
   public:
     explicit Model(const Settings& settings);
@@ -138,13 +87,8 @@
     std::vector<Condition> page_conditions(const Job& j, std::uint32_t page) const;
     // Keys of all pages that were written, the frozen ones too.
     std::vector<std::string> written_pages(const Job& j) const;
-    // A page's record; `first` is the index of its first task.
-    static Json encode_page(const std::vector<TaskState>& tasks, std::size_t first);
-    static std::optional<std::vector<TaskState>> decode_page(const Json& v, const Job& j, std::size_t first,
-                                                             TaskIndex count);
     // A job's record. One that would be too large for the strictest limits names only the types that exist.
     Json encode_job(const Job& j) const;
-    static std::optional<Job> decode_job(const Json& v);
 
     // The format level that the fleet writes, as far as read; it never falls.
     std::uint32_t format_level() const { return format_level_; }
@@ -183,7 +127,6 @@
     Revision seen;  // everything up to this revision has been read
 
   private:
-    static std::optional<Job> decode_job_record(const Json& v);
     void apply_job(const JobId& id, const Item& item);
     void apply_page(const Item& item);
     void apply_standard_page(Job& j, std::uint32_t n, const Item& item);
--- a/src/supply/gang_reservations.cpp
+++ b/src/supply/gang_reservations.cpp
@@ -5,7 +5,7 @@
 
 namespace zd::supply {
 namespace {
-constexpr double gang_patience_s = 8;           // before machines are reserved for a gang
+constexpr double gang_patience_s = 8;            // before machines are reserved for a gang
 constexpr std::size_t max_reserved_divisor = 4;  // not more than this part of all machines stands still
 constexpr double kept_rating = -1;               // before all that are rated by time
 
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -5,6 +5,7 @@
 #include "base/settings.h"
 #include "cluster/cluster.h"
 #include "cluster/format_level.h"
+#include "store/records.h"
 #include "story.h"
 #include "wire/peer.h"
 
@@ -104,7 +105,7 @@
     tasks[2] = {TaskState::At::done, 0, MachineId(), ""};
     tasks[91] = {TaskState::At::placed, 1, MachineId("host-000232"), "b"};
     EXPECT_EQ(
-        Model::encode_page(tasks, 92).dump(),
+        zd::records::encode_page(tasks, 92).dump(),
         R"({"d":"40000000000000000000000","p":[[92,3,"host-000231"],[183,1,"host-000232","b"]],"t":[[93,2]]})");
     EXPECT_EQ(m.part_of(MachineId("host-000231")), 0U);
     EXPECT_EQ(zd::Cluster::pick("job-000412", {NodeName("n0"), NodeName("n1"), NodeName("n2")}),
@@ -158,7 +159,7 @@
     void put_page(const std::string& key, std::size_t first, std::size_t size, std::size_t placed_at) {
         std::vector<TaskState> tasks(size);
         tasks[placed_at] = {TaskState::At::placed, 1, MachineId("host-000007"), ""};
-        put(key, Model::encode_page(tasks, first));
+        put(key, zd::records::encode_page(tasks, first));
     }
 };
 
@@ -206,7 +207,7 @@
     Json record = m.model.encode_job(m.job());
     for (const Json& pages : {Json{{"layout", 2}, {"size", 5}}, Json{{"layout", 1}}, Json("x")}) {
         record["pages"] = pages;
-        EXPECT_FALSE(Model::decode_job(record)) << pages;
+        EXPECT_FALSE(zd::records::decode_job(record)) << pages;
     }
     const Revision before = m.job().version;
     m.put(zd::keys::job(m.id), record);
