Tests of the upgrade that were missed: limits that drop too early, shared commits, the lower write rate

Still not noticed: waiting operations sorted into smaller pages (without it they are answered as not done, and come again).

--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -408,6 +408,42 @@
     expect_rules(w);
 }
 
+// Should the limits drop while a node has not been upgraded, what is too large for them waits for that node:
+// nothing is written that it could not read, and nothing is asked again and again.
+TEST(Upgrade, LimitsThatDropTooEarly) {
+    World::Options o = shrinking(10);
+    o.production_nodes = {2};
+    World w(o);
+    w.run(4);
+    w.store.lower_limits(2048, 4, 30);
+    w.submit(w.job(id_of(1), 180, 0.25, 15));
+    w.run(30);
+    EXPECT_EQ(level_of(w, 0), 0U);
+    EXPECT_EQ(keys_with(w, "z/r/"), 0U);
+    EXPECT_FALSE(w.store.data.at("z/j/" + id_of(1)).first.contains("pages"));
+    EXPECT_GT(w.store.refused_large, 0U);
+    EXPECT_LE(w.store.refused_large, 20U);
+    w.upgrade(2);
+    EXPECT_TRUE(told_all(w, {id_of(1)}, 200));
+    expect_rules(w);
+}
+
+// Many jobs of one team start and end at once: none of the commits that they share has too many operations.
+TEST(Upgrade, SharedCommitsKeepToTheFewerOperations) {
+    World w(shrinking(11));
+    w.run(4);
+    w.store.lower_limits(2048, 4, 30);
+    w.store_delay = 1;  // what comes while a commit is under way goes with the next
+    std::vector<std::string> ids = submit_some(w, 1, 12, 1, 20);
+    for (int i = 0; i < 24; ++i) {
+        ids.push_back(id_of(100 + i));
+        w.submit(w.job(ids.back(), 1, 0.5, 4, "blue"));
+    }
+    EXPECT_TRUE(told_all(w, ids, 200));
+    EXPECT_EQ(w.store.refused_large, 0U);
+    expect_rules(w);
+}
+
 class SpreadAcross : public testing::TestWithParam<int> {};
 // At most half of a job's tasks may be in one zone: also where its pages become smaller while the tasks of
 // one zone fill some of them.
@@ -436,14 +472,17 @@
     o.budgets = true;
     o.write_rps = 40;
     o.next_write_rps = 20;
+    o.capacity = 100;
     World w(o);
     w.run(4);
-    auto ids = submit_some(w, 1, 40, 5, 5);
+    auto ids = submit_some(w, 1, 30, 3, 5);
     w.run(10);
     w.store.over_rate = 0;
     w.store.lower_limits(2048, 4, 20);
+    auto more = submit_some(w, 100, 150, 2, 5);
+    ids.insert(ids.end(), more.begin(), more.end());
     EXPECT_TRUE(told_all(w, ids, 300));
-    EXPECT_LE(w.store.over_rate, 40U);
+    EXPECT_LE(w.store.over_rate, 10U);
     expect_rules(w);
 }
 
