--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -538,9 +538,9 @@
         out.whole = job->spec.shape == wire::Shape::gang;
         const auto bound = model_.bound_zone(*job);
         auto candidates = candidates_for(ask, *job, bound);
-        const bool stays = job->spec.shape == wire::Shape::service;
-        out.offers = sched::rank(candidates, ask.need, ask.tasks.size(), job->spec.one_zone && !bound,
-                                 stays ? sched::Fit::least_room : sched::Fit::most_room);
+        const bool is_service = job->spec.shape == wire::Shape::service;
+        out.offers = sched::rank(candidates, ask.need, ask.tasks.size(),
+                                 {.each_zone = job->spec.one_zone && !bound, .spread_replicas = is_service});
         counts_.offers += out.offers.size();
         hold(ask.round, ask.need, out.offers);
     }
@@ -554,6 +554,12 @@
            env_.now() - reserved_at_ < seconds(6);
 }
 
+TaskIndex Fleet::replicas_on(const MachineId& id, const JobId& job) const {
+    const auto& placed = model_.on_machine(id);
+    return static_cast<TaskIndex>(
+        std::count_if(placed.begin(), placed.end(), [&](const TaskRef& ref) { return ref.job == job; }));
+}
+
 std::vector<sched::Candidate> Fleet::candidates_for(const wire::Ask& ask, const Job& job,
                                                     const std::optional<std::string>& bound) {
     const Mono now = env_.now();
@@ -582,8 +588,10 @@
             if (m.kept_since == Mono{}) m.kept_since = now;
             if (now - m.kept_since < kept_for) continue;
         }
-        sched::Candidate c{id, m.zone, free, type->room, has_image(id, m, ask.image), std::min(m.errors, 5)};
+        sched::Candidate c{id, m.zone, free, type->room, has_image(id, m, ask.image), std::min(m.errors, 5),
+                           0};
         if (failed != job_errors_.end() && failed->second.contains(id)) c.penalty += 2;
+        if (job.spec.shape == wire::Shape::service) c.replicas = replicas_on(id, ask.job);
         candidates.push_back(std::move(c));
     }
     return candidates;
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -153,6 +153,7 @@
                   Term mine);
     void forget_past_attempts(const MachineId& id, Machine& m);
     bool kept_from(const MachineId& id, const Job& job) const;
+    TaskIndex replicas_on(const MachineId& id, const JobId& job) const;
     std::vector<sched::Candidate> candidates_for(const wire::Ask& ask, const Job& job,
                                                  const std::optional<std::string>& bound);
     Room free_room(const MachineId& id, Machine& m);
--- a/src/sched/logic.cpp
+++ b/src/sched/logic.cpp
@@ -64,19 +64,24 @@
     return less;
 }
 
-std::int64_t score(const Candidate& c, const Room& need, const Room& largest, Fit fit) {
+namespace {
+// Each outweighs what free room can make up for, at most some thousands.
+constexpr std::int64_t image_score = 100'000, replica_score = 60'000, trouble_score = 1'000'000;
+}  // namespace
+
+std::int64_t score(const Candidate& c, const Room& need, const Room& largest) {
     auto share = [](std::int64_t left, std::int64_t of) { return of > 0 ? left * 1000 / of : 0; };
     std::int64_t room = share(c.free.cpu - need.cpu, largest.cpu) + share(c.free.ram - need.ram, largest.ram);
-    if (need.gpu > 0 || fit == Fit::least_room)
+    if (need.gpu > 0)
         room += share(c.free.gpu - need.gpu, largest.gpu);
     else
         room -= 4 * share(c.free.gpu, largest.gpu);  // GPUs are for those who need them
-    if (fit == Fit::least_room) room = -room;
-    return (c.has_image ? 100'000 : 0) + room - 1'000'000 * std::int64_t{c.penalty};
+    return (c.has_image ? image_score : 0) + room - replica_score * std::int64_t{c.replicas} -
+           trouble_score * std::int64_t{c.penalty};
 }
 
 std::vector<wire::Offer> rank(std::vector<Candidate>& candidates, const Room& need, std::size_t tasks,
-                              bool each_zone, Fit fit) {
+                              RankOptions options) {
     Room largest;
     for (const auto& c : candidates) {
         largest.cpu = std::max(largest.cpu, c.total.cpu);
@@ -87,19 +92,22 @@
     std::priority_queue<std::pair<std::int64_t, std::size_t>> best;
     const std::size_t n = candidates.size();
     auto enter = [&](std::size_t i) {
-        if (candidates[i].free.fits(need)) best.emplace(score(candidates[i], need, largest, fit), n - i);
+        if (candidates[i].free.fits(need)) best.emplace(score(candidates[i], need, largest), n - i);
     };
     for (std::size_t i = 0; i < n; ++i) enter(i);
     std::vector<wire::Offer> offers;
     std::map<std::string, std::size_t> taken;
-    while ((each_zone || offers.size() < tasks) && !best.empty()) {
+    while ((options.each_zone || offers.size() < tasks) && !best.empty()) {
         const auto [top, rest] = best.top();
         best.pop();
         Candidate& c = candidates[n - rest];
-        if (each_zone && ++taken[c.zone] > tasks) continue;
+        if (options.each_zone && ++taken[c.zone] > tasks) continue;
         c.free -= need;
         // A machine fetches an image once for all its tasks: the next of this job finds it there.
-        c.has_image = true;
+        if (options.spread_replicas)
+            ++c.replicas;
+        else
+            c.has_image = true;
         offers.push_back({c.id, c.zone, top});
         enter(n - rest);
     }
--- a/src/sched/logic.h
+++ b/src/sched/logic.h
@@ -17,7 +17,8 @@
     std::string zone;
     Room free, total;
     bool has_image = false;
-    int penalty = 0;  // recent troubles
+    int penalty = 0;         // recent troubles
+    TaskIndex replicas = 0;  // of the job that asks, a service: one lost machine should take few of them
 };
 
 // How many tasks with this need the room takes.
@@ -50,18 +51,17 @@
 bool has_less_choice(const wire::JobSpec& a, const wire::JobSpec& b,
                      const std::vector<wire::MachineType>& types);
 
-// Which of several machines with room is preferred. Replicas of services stay for long: beside other work,
-// where they leave the least room over, they keep the fewest machines from larger tasks, and from being
-// returned.
-enum class Fit : std::uint8_t { most_room, least_room };
+// Holders of the image first, then the most free room once the task is there. A service's second replica on a
+// machine counts for less than another holder's first, a third for less than a machine without the image.
+std::int64_t score(const Candidate& c, const Room& need, const Room& largest);
 
-// Holders of the image first, then by the free room once the task is there.
-std::int64_t score(const Candidate& c, const Room& need, const Room& largest, Fit fit = Fit::most_room);
-
-// Up to `tasks` offers, best first, or up to so many from each zone; the room of each is taken from the
-// candidates.
+struct RankOptions {
+    bool each_zone = false;        // up to so many offers from each zone
+    bool spread_replicas = false;  // the tasks are a service's
+};
+// Up to `tasks` offers, best first; the room of each is taken from the candidates.
 std::vector<wire::Offer> rank(std::vector<Candidate>& candidates, const Room& need, std::size_t tasks,
-                              bool each_zone = false, Fit fit = Fit::most_room);
+                              RankOptions options = {});
 
 // Tasks of a `spread` job that one zone may hold: of these tasks, and of those on one page.
 TaskIndex spread_limit(TaskIndex tasks);
--- a/tests/services_test.cpp
+++ b/tests/services_test.cpp
@@ -1,5 +1,6 @@
 // Standing services: replicas that run until the job is cancelled and are put back wherever one goes.
 #include "jobs/restart_backoff.h"
+#include "sched/logic.h"
 #include "story.h"
 
 namespace zdtest {
@@ -117,6 +118,19 @@
     EXPECT_EQ(pause_after(1), 0);
 }
 
+// One lost machine should not take most of a service: its replicas go to several, holders of the image first.
+TEST(Service, ReplicasAreSpreadOverMachines) {
+    const zd::Room room{8000, 0, 64000};
+    std::vector<zd::sched::Candidate> machines{{zd::MachineId("host-000001"), "a", room, room, true, 0, 0},
+                                               {zd::MachineId("host-000002"), "a", room, room, true, 0, 0},
+                                               {zd::MachineId("host-000003"), "a", room, room, false, 0, 0}};
+    std::map<std::string, int> taken;
+    for (const auto& offer : zd::sched::rank(machines, {1000, 0, 1000}, 5, {.spread_replicas = true}))
+        ++taken[offer.machine.v];
+    EXPECT_EQ(taken,
+              (std::map<std::string, int>{{"host-000001", 2}, {"host-000002", 2}, {"host-000003", 1}}));
+}
+
 // All replicas run at the same time: together they must fit the limit.
 TEST(Service, MoreThanTheLimitIsRefused) {
     World w;
