--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -1,5 +1,6 @@
 // Two versions side by side, the format level, and limits of the state service that shrink without notice.
 #include <algorithm>
+#include <deque>
 #include <set>
 
 #include "base/settings.h"
@@ -29,8 +30,10 @@
     return text;
 }
 
-zd::Settings limits(double value_kb, double next_value_kb) {
-    zd::Settings settings;
+// Kept for good: a model refers to its settings.
+const zd::Settings& limits(double value_kb, double next_value_kb) {
+    static std::deque<zd::Settings> kept;
+    zd::Settings& settings = kept.emplace_back();
     settings.size = 3;
     settings.state_limits = {40, value_kb, 8};
     settings.strictest_limits = {40, std::min(value_kb, next_value_kb), 4};
