--- a/src/cluster/format_level.cpp
+++ b/src/cluster/format_level.cpp
@@ -1,5 +1,6 @@
 #include "cluster/format_level.h"
 
+#include <algorithm>
 #include <string>
 
 #include "base/log.h"
@@ -39,10 +40,9 @@
 void FormatLevel::review() {
     env_.after(review_interval, [this] { review(); });
     if (!cluster_.in_touch() || busy_ || model_.format_level() >= highest_known) return;
-    const auto own = model_.known_formats().find(settings_.node);
-    if (own == model_.known_formats().end() || own->second < highest_known)
-        return put(keys::known_format(settings_.node), highest_known, "format_registered");
     const auto missing = waiting_for();
+    if (std::find(missing.begin(), missing.end(), settings_.node) != missing.end())
+        return put(keys::known_format(settings_.node), highest_known, "format_registered");
     if (missing.size() != told_waiting_) log::info("event=format_level_waits for={}", joined(missing));
     told_waiting_ = missing.size();
     // One node is enough; any may do it, and again: the commit names the version that was seen.
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -273,7 +273,7 @@
     }
     // A task that can save does so as late as the notice allows, and a replica moves then; an array's task
     // that can't save runs on: it may finish.
-    const bool leaves = job->spec.checkpoint_s > 0 || job->spec.shape == wire::Shape::service;
+    const bool leaves = job->spec.checkpoint_s > 0 || job->spec.is_service();
     if (r.notice_s && leaves && t.phase == wire::TaskPhase::running &&
         *r.notice_s < job->spec.save_s + 2.5 * settings_.report_s)
         return halt_with_grace;
@@ -284,7 +284,7 @@
 void Fleet::take_end(const MachineId& id, Machine& m, const wire::Report& r, const wire::ReportedTask& t,
                      Term mine) {
     const Job& job = *model_.job(t.task.job);
-    const bool is_service = job.spec.shape == wire::Shape::service;
+    const bool is_service = job.spec.is_service();
     if (t.cause == wire::Cause::done && !is_service) {
         m.errors = 0;
         ledger_.finish(t.task, t.attempt, id);
@@ -397,7 +397,7 @@
     if (where.size() >= 3) return;
     // A replica that fails again and again where it is put back says no more of the machine than the first
     // time.
-    if (failed.spec.shape == wire::Shape::service && m.error_jobs.contains(job)) return;
+    if (failed.spec.is_service() && m.error_jobs.contains(job)) return;
     if (m.error_jobs.size() < 16) m.error_jobs.insert(job);
     ++m.errors;
     m.blocked_until = std::max(m.blocked_until, env_.now() + seconds(std::min(60.0, 10.0 * m.errors)));
@@ -538,7 +538,7 @@
         out.whole = job->spec.shape == wire::Shape::gang;
         const auto bound = model_.bound_zone(*job);
         auto candidates = candidates_for(ask, *job, bound);
-        const bool is_service = job->spec.shape == wire::Shape::service;
+        const bool is_service = job->spec.is_service();
         out.offers = sched::rank(candidates, ask.need, ask.tasks.size(),
                                  {.each_zone = job->spec.one_zone && !bound, .spread_replicas = is_service});
         counts_.offers += out.offers.size();
@@ -591,7 +591,7 @@
         sched::Candidate c{id, m.zone, free, type->room, has_image(id, m, ask.image), std::min(m.errors, 5),
                            0};
         if (failed != job_errors_.end() && failed->second.contains(id)) c.penalty += 2;
-        if (job.spec.shape == wire::Shape::service) c.replicas = replicas_on(id, ask.job);
+        if (job.spec.is_service()) c.replicas = replicas_on(id, ask.job);
         candidates.push_back(std::move(c));
     }
     return candidates;
@@ -664,8 +664,7 @@
     const auto& placed = model_.on_machine(id);
     return std::any_of(placed.begin(), placed.end(), [&](const TaskRef& ref) {
         const Job* job = model_.job(ref.job);
-        return job != nullptr && job->spec.shape == wire::Shape::service &&
-               !m.told.contains({ref, model_.task(ref).attempt});
+        return job != nullptr && job->spec.is_service() && !m.told.contains({ref, model_.task(ref).attempt});
     });
 }
 
--- a/src/jobs/ledger.cpp
+++ b/src/jobs/ledger.cpp
@@ -339,7 +339,7 @@
     if (op.event != TaskEvent::place) {
         // Replicas are never done. What an owner of an earlier version takes for that is no proof of their
         // end.
-        if (op.event == TaskEvent::finish && j.spec.shape == wire::Shape::service) return false;
+        if (op.event == TaskEvent::finish && j.spec.is_service()) return false;
         if (t.at != TaskState::At::placed || t.attempt != op.attempt || t.machine != op.machine) return false;
         t.at = op.event == TaskEvent::finish ? TaskState::At::done : TaskState::At::pending;
         t.machine = {};
@@ -457,15 +457,14 @@
     return result;
 }
 
-// Whether the page can be written as it is stored now. From the first format level on, or once the service
-// has refused a value for its size, none is larger than the strictest limit that the settings announce.
-bool Ledger::fits_a_record(const PageKey& page, const Job& j, const std::vector<TaskState>& tasks) {
-    if (tasks.size() <= model_.safe_page_size()) return true;
+// Whether a page's record may have so many bytes now. From the first format level on, or once the service has
+// refused a value for its size, none is larger than the strictest limit that the settings announce.
+bool Ledger::fits_a_record(std::size_t tasks, std::size_t bytes) const {
+    if (tasks <= model_.safe_page_size()) return true;
     const bool keep_to_strictest =
         model_.format_level() >= FormatLevel::small_pages || store_.refused_a_value();
     const StateLimits& limits = keep_to_strictest ? settings_.strictest_limits : settings_.state_limits;
-    const std::size_t first = std::size_t{page.page} * model_.page_size(j);
-    return records::encode_page(tasks, first).dump().size() <= limits.value_bytes();
+    return bytes <= limits.value_bytes();
 }
 
 // Adds what may be done of `ops` to the draft; what has to wait is left in `later`.
@@ -480,8 +479,11 @@
         d.use = use_before;
         return;
     }
-    if (fits_a_record(page, *j, applied.tasks)) {
-        add_writes(d, page, *j, applied.tasks);
+    Json record = records::encode_page(applied.tasks, std::size_t{page.page} * model_.page_size(*j));
+    const std::size_t bytes = record.dump().size();
+    if (fits_a_record(applied.tasks.size(), bytes)) {
+        add_writes(d, page, *j, applied.tasks, std::move(record));
+        d.bytes += bytes;
         d.taken.emplace_back(page, std::move(applied.used));
         return;
     }
@@ -526,7 +528,8 @@
     });
 }
 
-void Ledger::add_writes(Draft& d, const PageKey& page, const Job& j, const std::vector<TaskState>& tasks) {
+void Ledger::add_writes(Draft& d, const PageKey& page, const Job& j, const std::vector<TaskState>& tasks,
+                        Json record) {
     const std::string job_key = keys::job(page.job), page_key = Model::page_key(j, page.page);
     const auto add_condition = [&d](const Condition& condition) {
         const auto same = [&](const Condition& c) { return c.key == condition.key; };
@@ -550,9 +553,7 @@
                       });
     constexpr std::size_t writes_of_an_end = 2;
     if (!over || j.cancelled || d.txn.writes.size() + writes_of_an_end > settings_.strictest_limits.txn_ops) {
-        Json v = records::encode_page(tasks, std::size_t{page.page} * model_.page_size(j));
-        d.bytes += v.dump().size();
-        d.txn.writes.push_back({page_key, std::move(v), std::nullopt});
+        d.txn.writes.push_back({page_key, std::move(record), std::nullopt});
         return;
     }
     // The last task's end and the job's in one commit; a page that finds no place in it is deleted later.
@@ -687,6 +688,8 @@
 void Ledger::on_not_committed(const LaneKey& key, Draft& d, const CommitResult& r) {
     if (r.outcome == Outcome::conflict) ++counts_.conflicts;
     if (r.outcome == Outcome::unknown && !key.team.empty()) locks_.invalidate(key.team);
+    // After a 400 it was refused for good as it is: what can make it smaller takes its time.
+    const Duration pause = r.outcome == Outcome::invalid ? invalid_pause : retry_pause;
     const std::set<std::string> failed(r.failed.begin(), r.failed.end());
     for (auto& [page, ops] : d.taken)
         for (auto& op : ops) {
@@ -697,14 +700,13 @@
                 continue;
             }
             // Ends that came along with starts go back to where they need no lock.
-            put_back(page.job, std::move(op), retry_pause);
+            put_back(page.job, std::move(op), pause);
         }
-    if (r.outcome == Outcome::refused) return schedule(key, retry_pause);
+    if (r.outcome == Outcome::refused) return schedule(key, pause);
     if (r.outcome == Outcome::invalid) {
-        // Refused for good as it is: what can make it smaller takes its time.
         log::error("event=commit_refused team={} job={} writes={}", key.team.v, key.page.job.v,
                    d.txn.writes.size());
-        return schedule(key, invalid_pause);
+        return schedule(key, pause);
     }
     refresh(key, r.outcome == Outcome::conflict && !r.failed.empty() ? r.failed : keys_of(d.txn));
 }
--- a/src/jobs/ledger.h
+++ b/src/jobs/ledger.h
@@ -133,11 +133,12 @@
         std::vector<Op> used, later;   // done in this draft, left for another
     };
     Applied apply_all(Draft& d, const PageKey& page, const Job* j, std::vector<Op> ops);
-    bool fits_a_record(const PageKey& page, const Job& j, const std::vector<TaskState>& tasks);
+    bool fits_a_record(std::size_t tasks, std::size_t bytes) const;
     void put_back(const JobId& job, Op op, Duration pause);
     void resize_pages(const Job& j);
     static std::size_t conditions_for(const Job* j);
-    void add_writes(Draft& d, const PageKey& page, const Job& j, const std::vector<TaskState>& tasks);
+    void add_writes(Draft& d, const PageKey& page, const Job& j, const std::vector<TaskState>& tasks,
+                    Json record);
     PageKey page_key_of(const JobId& job, TaskIndex task) const;
     std::optional<Term> valid_term(const Op& op, std::uint32_t part) const;
     bool zone_allowed(const Job& j, const std::string& zone, const Draft& d) const;
--- a/src/jobs/relay.cpp
+++ b/src/jobs/relay.cpp
@@ -47,7 +47,7 @@
 }
 
 void Relay::note_placed(const Job& j, Waiting& w) const {
-    const bool is_service = j.spec.shape == wire::Shape::service;
+    const bool is_service = j.spec.is_service();
     const auto placed = std::erase_if(w.asked, [&](const auto& asked) {
         if (model_.task({j.spec.id, asked.first}).at == TaskState::At::pending) return false;
         if (is_service) w.restarts.placed(asked.first, env_.now());
@@ -215,8 +215,7 @@
             TaskIndex t = i + p * model_.page_size(j);
             if (it != j.pages.end() && it->second.tasks[i].at != TaskState::At::pending) continue;
             if (w.asked.contains(t)) continue;
-            if (j.spec.shape == wire::Shape::service && w.restarts.earliest_start(t, env_.now()) > env_.now())
-                continue;
+            if (j.spec.is_service() && w.restarts.earliest_start(t, env_.now()) > env_.now()) continue;
             auto more = static_cast<TaskIndex>(tasks.size() + 1 + (gang ? 0 : w.asked.size()));
             if (!model_.team_has_room(j.spec.team, j.spec.need, more)) break;
             if (gang && !sched::next_attempt(j, it != j.pages.end() ? it->second.tasks[i] : TaskState{}))
--- a/src/store/records.cpp
+++ b/src/store/records.cpp
@@ -71,7 +71,7 @@
 std::optional<std::vector<TaskState>> decode_page(const Json& v, const Job& j, std::size_t first,
                                                   TaskIndex count) {
     std::vector<TaskState> tasks(count);
-    const bool is_service = j.spec.shape == wire::Shape::service;
+    const bool is_service = j.spec.is_service();
     try {
         auto slot = [&](const Json& e) -> TaskState& { return tasks.at(e.at(0).get<std::size_t>() - first); };
         if (v.contains("p"))
--- a/src/supply/class_reservations.cpp
+++ b/src/supply/class_reservations.cpp
@@ -36,7 +36,7 @@
                                                  const ArrivalStatistics& arrivals, WallMs now,
                                                  ReservationMap& reserved) {
     const wire::JobSpec& spec = arrivals.latest_spec();
-    if (spec.shape == wire::Shape::service) return reserve_for_service(arrivals, now, reserved);
+    if (spec.is_service()) return reserve_for_service(arrivals, now, reserved);
     const wire::MachineType* type = cheapest_type(spec);
     const double aim_s = wait_aim_s(job_class);
     if (type == nullptr || aim_s > type->boot_s * short_aim_boots || arrivals.empty()) return std::nullopt;
@@ -189,10 +189,9 @@
 
 // Of the class, replicas of services or other work, as `spec` is.
 std::size_t ClassReservations::waiting_tasks(const wire::JobSpec& spec) const {
-    const auto is_service = [](const wire::JobSpec& s) { return s.shape == wire::Shape::service; };
     std::size_t waiting = 0;
     for (const Demand& demand : plan_.demands)
-        if (demand.spec->job_class == spec.job_class && is_service(*demand.spec) == is_service(spec))
+        if (demand.spec->job_class == spec.job_class && demand.spec->is_service() == spec.is_service())
             waiting += demand.tasks;
     return waiting;
 }
@@ -205,7 +204,7 @@
     for (Bin& bin : plan_.bins) {
         const wire::MachineType* type = model_.type(bin.type);
         if (!may_reserve(bin, type, spec)) continue;
-        const bool runs = spec.shape != wire::Shape::service && runs_class(bin.id, reservation.job_class);
+        const bool runs = !spec.is_service() && runs_class(bin.id, reservation.job_class);
         if (runs) ++rated.running;
         rated.bins.push_back({rate(bin, *type, spec, runs, image_shares, reservation), &bin});
     }
--- a/src/supply/demand.cpp
+++ b/src/supply/demand.cpp
@@ -120,9 +120,7 @@
     return merged;
 }
 
-double expected_run_s(const wire::JobSpec& spec) {
-    return spec.shape == wire::Shape::service ? no_end_s : spec.estimate_s;
-}
+double expected_run_s(const wire::JobSpec& spec) { return spec.is_service() ? no_end_s : spec.estimate_s; }
 
 double patience(const Settings& settings, const wire::JobSpec& spec) {
     auto share_of_slack = [&](double limit_s) {
--- a/src/supply/preemption.cpp
+++ b/src/supply/preemption.cpp
@@ -50,7 +50,7 @@
     for (const auto& ref : model_.on_machine(machine.id)) {
         const Job* job = model_.job(ref.job);
         if (job == nullptr) return std::nullopt;
-        if (job->spec.shape == wire::Shape::service) {
+        if (job->spec.is_service()) {
             beside_services -= job->spec.need;
             if (!beside_services.fits(spec.need)) return std::nullopt;
             continue;
@@ -99,7 +99,7 @@
     const MachineReport* report = inventory_.find_report(id);
     for (const auto& ref : model_.on_machine(id)) {
         const Job* job = model_.job(ref.job);
-        if (job != nullptr && job->spec.shape == wire::Shape::service) continue;
+        if (job != nullptr && job->spec.is_service()) continue;
         log::info("event=preempt task={} machine={} for_class={} loss_s={:.1f}", ref.str(), id.v,
                   reservation.job_class, loss_s);
         if (report != nullptr)
--- a/src/supply/reservations.cpp
+++ b/src/supply/reservations.cpp
@@ -38,8 +38,7 @@
 
 void ReservationPlanner::record_arrivals() {
     for (const auto& [id, job] : model_.jobs())
-        if (!job.cancelled)
-            arrivals_[{job.spec.job_class, job.spec.shape == wire::Shape::service}].record(job);
+        if (!job.cancelled) arrivals_[{job.spec.job_class, job.spec.is_service()}].record(job);
 }
 
 void ReservationPlanner::announce() const {
--- a/src/wire/json_api.cpp
+++ b/src/wire/json_api.cpp
@@ -99,7 +99,7 @@
     s.spread = flag(j, "apart");
     s.spot = flag(j, "loaners");
     // Nobody can estimate how long a service runs.
-    if (s.shape != Shape::service || find(j, "guess_s") != nullptr) s.estimate_s = amount(j, "guess_s", true);
+    if (!s.is_service() || find(j, "guess_s") != nullptr) s.estimate_s = amount(j, "guess_s", true);
     s.checkpoint_s = amount(j, "mark_every_s", true);
     s.save_s = amount(j, "stow_s", true);
     if (const Json* d = find(j, "due_s")) s.deadline_s = amount(*d, "due_s");
--- a/src/wire/json_api.h
+++ b/src/wire/json_api.h
@@ -31,6 +31,7 @@
     bool one_zone = false, spread = false, spot = false;
     double estimate_s = 0, checkpoint_s = 0, save_s = 0;
     std::optional<double> deadline_s;
+    bool is_service() const { return shape == Shape::service; }
 };
 
 constexpr TaskIndex max_tasks = 100'000;
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -431,6 +431,20 @@
     expect_rules(w);
 }
 
+// What the service refuses as malformed, for a reason that the settings don't tell, is not sent again at
+// once.
+TEST(Upgrade, RefusedForGoodIsNotRepeatedAtOnce) {
+    World w;
+    w.run(4);
+    w.submit(w.job(id_of(1), 8, 1, 20));
+    ASSERT_TRUE(w.run_until([&] { return w.on_machines(id_of(1)) == 8; }, 60));
+    w.store.lower_limits(4, 8, 0);
+    w.run(30);
+    EXPECT_GT(w.store.refused_large, 0U);
+    EXPECT_LE(w.store.refused_large, 20U);
+    expect_rules(w);
+}
+
 // Many jobs of one team start and end at once: none of the commits that they share has too many operations.
 TEST(Upgrade, SharedCommitsKeepToTheFewerOperations) {
     World w(shrinking(11));
