--- a/review/2/case.py
+++ b/review/2/case.py
@@ -100,7 +100,10 @@
         uid = case.job["uid"]
         await site.submit(FRONT, case.job, run_s=600.0)
         await asyncio.wait_for(case.started.wait(), 10)
-        while (await site.ask(FRONT, "GET", f"/api/jobs/{uid}"))[1].get("phase") != "running":
+        phase = None
+        while phase != "running":
+            status, answer = await site.ask(FRONT, "GET", f"/api/jobs/{uid}")
+            phase = answer["phase"] if status == 200 else None
             await asyncio.sleep(0.02)
         status, answer = await site.ask(FRONT, "POST", f"/api/jobs/{uid}/cancel")
         if status != 200 or answer.get("phase") != "withdrawn":
@@ -113,6 +116,8 @@
         await until(lambda: not case.job_record(), 20, "the job is not closed")
     else:
         raise CannotRun("no start chose another zone")
+    if told_at > 35:
+        raise CannotRun("too late to wait for cancel_s")
     await until(lambda: not case.job_record(), 20, "the job is not closed")
     site.record(f"the job's records are closed; its user was told at {told_at:.3f}")
 
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -10,6 +10,7 @@
 import json
 import os
 import random
+import re
 import shutil
 import signal
 import socket
@@ -17,7 +18,7 @@
 import sys
 import tempfile
 import time
-import tomllib
+import traceback
 import urllib.parse
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
@@ -700,8 +701,8 @@
         path = os.path.join(self.temporary, f"{name}.toml")
         with open(path, "w", encoding="utf-8") as file:
             file.write(self.settings_text(name))
-        with open(os.path.join(ROOT, "deploy", "service.toml"), "rb") as file:
-            command = tomllib.load(file)["run"].split() + [path]
+        with open(os.path.join(ROOT, "deploy", "service.toml"), encoding="utf-8") as file:
+            command = re.search(r'^run = "(.*)"$', file.read(), re.M).group(1).split() + [path]
         log = open(os.path.join(self.temporary, f"{name}.log"), "a")
         environment = dict(os.environ, LOG_LEVEL=os.environ.get("CONTROLLER_LOG", "info"))
         self.processes[name] = subprocess.Popen(command, cwd=ROOT, stdout=log, stderr=log, env=environment,
@@ -770,8 +771,8 @@
 
 
 def run_case(main, limit_s=112):
-    """Runs `main(site holder)`; exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
-    `main` returns True if the rule was broken."""
+    """Runs `main(holder)`, which puts its site into `holder["site"]` and returns True if the rule was broken.
+    Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run."""
     holder = {}
 
     def on_signal(*_):
@@ -790,6 +791,8 @@
             holder["site"].record(f"could not run: {error}")
     except (asyncio.TimeoutError, KeyboardInterrupt):
         print("could not run: out of time")
+    except Exception:  # an error of the test itself shows nothing about the rule
+        traceback.print_exc()
     finally:
         if "site" in holder:
             holder["site"].end_all()
