--- a/review/1/case.py
+++ b/review/1/case.py
@@ -17,8 +17,8 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 LEADER, FRONT = "werf-1", "werf-2"
 # Machines whose shards are led by werf-1, and as many whose shards are led by werf-2; a pair for each attempt.
-HANGING = ["host-000004", "host-000005", "host-000013"]
-OTHERS = ["host-000001", "host-000007", "host-000008"]
+HANGING = ["host-000004", "host-000013", "host-000019"]
+OTHERS = ["host-000001", "host-000007", "host-000014"]
 REPORT_S, LEASE_S = quiz.PARAMS["workers"]["report_s"], quiz.PARAMS["workers"]["lease_s"]
 SLOW_S = 0.45  # "now and then a few hundred" ms
 REFUSAL_S = 2.5
@@ -139,19 +139,22 @@
     case.hung, other = HANGING[number], OTHERS[number]
     case.job = None
     case.reset()
-    # The other machine is full until one of its tasks ends.
+    # The other machine is full until one of its tasks ends. All tasks have one image, which both machines have
+    # by then: on the first machine from a short task before.
     await site.add_machine(other, "boite-gpu-douze", "laurentides")
     await asyncio.sleep(3.5)
     await site.submit(FRONT, quiz.photos(f"job-{base + 1:06d}"), run_s=600.0)
-    await site.submit(FRONT, quiz.photos(f"job-{base + 2:06d}"), run_s=11.0)
-    await until(lambda: len([t for t in site.workers[other].tasks.values() if t.on_machine]) == 2, 10,
-                "the first tasks do not run")
+    await site.submit(FRONT, quiz.photos(f"job-{base + 2:06d}"), run_s=600.0)
+    await until(lambda: len(site.workers[other].tasks) == 2, 10, "the first tasks are not placed")
     hung = await site.add_machine(case.hung, "boite-gpu-douze", "laurentides")
     await until(lambda: hung.node == LEADER and hung.baton, 8, f"{case.hung} does not report to {LEADER}")
-    await asyncio.sleep(REPORT_S * 1.25 + 0.3)
+    await site.submit(FRONT, quiz.photos(f"job-{base + 5:06d}"), run_s=1.0)
+    await until(lambda: hung.tasks, 10, f"{case.hung} gets no task")
+    await until(lambda: not hung.tasks, 20, "the short task is not over")
+    await until(lambda: all(t.on_machine for t in site.workers[other].tasks.values()), 20, "no image")
     # A moment after a report at which the leader's renewals will not fall into the first refusal.
     refusal_after_s = LEASE_S + 0.35 - 0.48
-    for _ in range(4):
+    for _ in range(3):
         report = hung.answered_sent_at
         await until(lambda: hung.answered_sent_at > report, 4, f"{case.hung} does not report")
         if 0.05 < case.since_renewal(hung.answered_sent_at + refusal_after_s) < 0.45:
@@ -167,6 +170,9 @@
         site.record("the task was started before the machine hung")
         hung.resume()
         return False
+    await asyncio.sleep(3)
+    ending = [t for t in site.workers[other].tasks.values() if t.ref == f"job-{base + 2:06d}/0"]
+    site.workers[other].end(ending[0], "done")
     # The controllers take the task as lost a little after the lease.
     await asyncio.sleep(last + refusal_after_s - now())
     case.phase = "armed"
@@ -190,6 +196,8 @@
     case = Case(site)
     was_played = False
     for number in range(len(HANGING) if TROUBLE else 1):
+        if now() > 70:
+            break
         was_played = await attempt(site, case, number) or was_played
         if case.broken is not None:
             break
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -49,6 +49,7 @@
                 if TROUBLE and node == COMMITTER and self.zone_was_written:
                     self.site.record("TROUBLE: zones estrie and mauricie can't reach each other; packets are held")
                     self.site.network.cut(COMMITTER, LEADER)
+                    self.cut_at = now()
                 self.started.set()
         if node == LEADER and path.startswith("/watch") and TROUBLE and self.refusing == "next watch":
             self.begin_refusal()
@@ -90,7 +91,7 @@
     # Long tasks, so that the machines stay in use.
     for number in range(len(MACHINES)):
         await site.submit(FRONT, karaoke.lyrics(f"job-{900 + number:06d}", number), run_s=600.0)
-    await until(lambda: len({m for _, m, _, _ in site.started}) == len(MACHINES), 15, "fillers do not run")
+    await until(lambda: len({m for _, m, _, _ in site.started}) == len(MACHINES), 25, "fillers do not run")
 
     # A job whose zone is chosen by its first start, as for most jobs of this class; cancelled as soon as its
     # user sees it running.
@@ -123,7 +124,7 @@
 
     await asyncio.sleep(3.0)  # every controller has read that by its watch
     if TROUBLE:
-        for _ in range(4):
+        while now() < case.cut_at + 32:  # the cut lasts less than 40 s
             case.listed.clear()
             case.refusing = "next watch"
             try:
@@ -143,7 +144,7 @@
         for name in site.names:
             await site.ask(name, "GET", f"/api/jobs/{uid}", timeout=2.0)
         is_on_machine = any(t.ref == f"{uid}/0" for t in site.tasks_on_machines())
-        if not is_on_machine and now() > restored_at + 20:  # the machine has reported since
+        if not is_on_machine and now() > restored_at + 32:  # the machine has reported, and could have fetched the image
             site.record(f"no task of {uid} is on a machine")
             return False
         if is_on_machine and now() > told_at + CANCEL_S:
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -125,7 +125,7 @@
         second = asyncio.create_task(self.submit_everywhere(jobs[1]))
         await asyncio.sleep(0.04)
         await asyncio.gather(second, self.submit_everywhere(jobs[2]))
-        end = now() + 5
+        end = now() + 20  # the machines fetch the image
         while now() < end and self.broken is None:
             await asyncio.sleep(0.05)
         self.phase = "calm"
@@ -148,11 +148,19 @@
     for number in range(FILLERS):
         await site.submit(FRONT, quiz.rounds(f"job-{900 + number:06d}"), run_s=600.0)
     end = now() + 15
-    while case.gpus() < LIMIT - 2:
+    while sum(len(w.tasks) for w in site.workers.values()) < FILLERS:
         if now() > end:
-            raise CannotRun("the first jobs do not run")
+            raise CannotRun("the first jobs are not placed")
         await asyncio.sleep(0.05)
+    machines = FILLERS + SPARE
     for number in range(1, ROUNDS + 1):
+        if now() > 75:
+            break
+        if number > 1:  # idle machines have been returned
+            while sum(not w.gone and not w.tasks for w in site.workers.values()) < SPARE:
+                machines += 1
+                await site.add_machine(f"host-{machines:06d}", "boite-gpu-douze", "laurentides")
+            await asyncio.sleep(4.5)
         try:
             await case.one_round(number)
         except asyncio.TimeoutError:
--- a/review/lib/quiz.py
+++ b/review/lib/quiz.py
@@ -36,6 +36,6 @@
 def photos(uid, gpus=1.0, vcpus=5.0):
     """A one-task array of the class lot-photos."""
     return {"uid": uid, "ilk": "lot-photos", "crew": "ardoise", "shape": "batch", "rank": "standard",
-            "shards": 1, "vcpus": vcpus, "gpus": gpus, "ram_gb": 36.0, "cask": "img-2", "image_gb": 5.0,
+            "shards": 1, "vcpus": vcpus, "gpus": gpus, "ram_gb": 36.0, "cask": "img-2", "image_gb": 2.0,
             "breeds": ["boite-gpu-douze"], "field": None, "one_zone": False, "apart": False, "loaners": True,
             "guess_s": 80.0, "mark_every_s": 0.0, "stow_s": 0.0, "due_s": None}
