A late record of a deleted job is ignored: the cache knows up to where it is complete

Cause: the CommitResponse of the job's start carries the job's record. It was held back until the job was closed, and the leader no longer had the version of the deletion: a reload dropped it, as a restart and the limit of 4,096 kept versions do. An update of an unknown key was always applied, the mark of the cancellation was gone with the job, and a start needs no commit.

Change: StateCache::apply ignores an update of an unknown key whose version is not above the applied revision.

Why this works: up to its applied revision the cache has every change, so that a key that it doesn't know at that time has been deleted since, or never was. It holds for messages, commits' answers, single reads and lists alike.

Tests changed: TransactionBuilderTest applied its page and a format level below the applied revision that it had set before; they come in order now.

--- a/src/store/record_versions.h
+++ b/src/store/record_versions.h
@@ -20,12 +20,14 @@
     [[nodiscard]] bool update_if_newer(const KeyUpdate& update);
     /// Returns the version of an existing record; 0 if the record was deleted or never read.
     [[nodiscard]] Revision version(const std::string& key) const;
+    /// Returns whether the version of a record or of its deletion is stored.
+    [[nodiscard]] bool contains(const std::string& key) const { return versions_.contains(key); }
     [[nodiscard]] bool exists(const std::string& key) const { return version(key) != Revision{}; }
     /// Removes a key's version, so that the next update of the key is accepted even if it is not newer.
     void forget(const std::string& key) { versions_.erase(key); }
     /// Removes the versions of keys deleted before the revision `applied_revision` if many versions are
-    /// stored. They are not needed, because no update older than `applied_revision` arrives once the watch
-    /// has passed that revision.
+    /// stored. They are not needed, because StateCache ignores updates of unknown keys up to the revision up
+    /// to which it has applied all changes.
     void drop_deleted(Revision applied_revision);
     /// Returns the keys of the existing records whose versions are older than `revision`.
     [[nodiscard]] std::vector<std::string> keys_written_before(Revision revision) const;
--- a/src/store/state_cache.cpp
+++ b/src/store/state_cache.cpp
@@ -91,8 +91,14 @@
     return records::encode_job(job, machine_types_, settings_.strictest_limits.max_value_bytes());
 }
 
+// Whether an update of an unknown key is as old as the changes that the cache contains completely. The record
+// has been deleted since, or it would be known.
+bool StateCache::was_deleted_since(const KeyUpdate& update) const {
+    return update.version <= applied_revision && !versions_.contains(update.key);
+}
+
 void StateCache::apply(const KeyUpdate& update) {
-    if (!versions_.update_if_newer(update)) return;
+    if (was_deleted_since(update) || !versions_.update_if_newer(update)) return;
     const keys::ParsedKey key = keys::parse(std::string_view(update.key));
     switch (key.kind) {
         case keys::RecordKind::job:
--- a/src/store/state_cache.h
+++ b/src/store/state_cache.h
@@ -39,7 +39,8 @@
 
     // --- Updates ---
 
-    /// Applies a record that was read or committed; ignores it if the cache has the same or a newer version.
+    /// Applies a record that was read or committed; ignores it if the cache has the same or a newer version,
+    /// or if the record has been deleted since.
     void apply(const KeyUpdate& update);
     /// Applies a list of all watched records whose first page was read at `revision`; later pages may be
     /// newer. Removes the records that the list shows to be deleted. Changes after `revision` that the cache
@@ -50,7 +51,7 @@
     void mark_cancelled(const JobId& id);
     /// Removes the images of a terminated machine.
     void forget_machine(const MachineId& machine) { images_.forget(machine); }
-    /// The store's revision up to which all changes have been read.
+    /// The store's revision up to which all changes have been read and applied.
     Revision applied_revision;
     /// Returns the version of a record; 0 if the record does not exist.
     [[nodiscard]] Revision version(const std::string& key) const { return versions_.version(key); }
@@ -168,6 +169,7 @@
     }
 
   private:
+    [[nodiscard]] bool was_deleted_since(const KeyUpdate& update) const;
     void remove_unlisted(const std::vector<KeyUpdate>& records, Revision revision);
     void apply_membership(const keys::ParsedKey& key, const KeyUpdate& update);
     void apply_format_level(const keys::ParsedKey& key, const KeyUpdate& update);
--- a/tests/state_reload_test.cpp
+++ b/tests/state_reload_test.cpp
@@ -2,12 +2,14 @@
 // already is not taken back, and no decision is based on it before its watch has caught up.
 #include <gtest/gtest.h>
 
+#include <set>
 #include <string>
 #include <vector>
 
 #include "cluster/membership.h"
 #include "cluster/state_watcher.h"
 #include "fake_state_observer.h"
+#include "jobs/committed_records.h"
 #include "manual_env.h"
 #include "store/records.h"
 
@@ -74,6 +76,21 @@
         env_.answer("/watch", 410);
         ASSERT_FALSE(watcher_.is_up_to_date());
     }
+    // The watch tells that the job was closed.
+    void close_job(std::uint64_t version) {
+        env_.run_for(millis(100));
+        const Json closed = {{{"delete", keys::job(job_id)}, {"stamp", version}},
+                             {{"delete", keys::page(job_id, 0)}, {"stamp", version}}};
+        env_.answer("/watch", 200, Json{{"epoch", version}, {"news", closed}}.dump());
+        ASSERT_EQ(state_cache_.job(job_id), nullptr);
+    }
+    // The records that another controller's commit of a start left at `version`.
+    std::vector<wire::StoredRecord> late_response(const JobId& id, std::uint64_t version) const {
+        Job job = job_;
+        job.spec.id = id;
+        return {{keys::job(id), records::encode_job(job, {}, 100'000).dump(), version},
+                {keys::page(id, 0), page_record(placed()).dump(), version}};
+    }
     [[nodiscard]] TaskState task() const { return state_cache_.task({job_id, 0}); }
 
     const Settings settings_ = one_controller();
@@ -144,5 +161,44 @@
     EXPECT_EQ(state_cache_.orphaned_pages().size(), 1U);
 }
 
+// Guards against ran_cancelled: a commit's response that had been held back between controllers brought a
+// cancelled and closed job back, whose task was then started. The three tests differ in why the leader has
+// not kept the version at which the job was deleted.
+TEST_F(StateReload, LateMessageDoesNotBringBackAJobClosedBeforeTheList) {
+    apply_stored_records(state_cache_, late_response(JobId("job-2"), 7));
+    EXPECT_EQ(state_cache_.job(JobId("job-2")), nullptr);
+    EXPECT_EQ(state_cache_.tasks_on(machine), (std::set<TaskRef>{{job_id, 0}}));
+}
+
+TEST_F(StateReload, LateMessageDoesNotBringBackAJobClosedBeforeAReload) {
+    close_job(12);
+    begin_reload();
+    env_.answer("/store", 200, list(15, {}));
+    apply_stored_records(state_cache_, late_response(job_id, 9));
+    EXPECT_EQ(state_cache_.job(job_id), nullptr);
+    EXPECT_TRUE(state_cache_.tasks_on(machine).empty());
+}
+
+TEST_F(StateReload, LateMessageDoesNotBringBackAJobWhoseDeletedVersionWasDropped) {
+    close_job(12);
+    constexpr std::uint64_t deletions = 5000;  // more than the cache keeps versions of deleted records
+    Json changes = Json::array();
+    for (std::uint64_t i = 0; i < deletions; ++i)
+        changes.push_back({{"delete", "z/j/job-9" + std::to_string(i)}, {"stamp", 13 + i}});
+    env_.run_for(millis(100));
+    env_.answer("/watch", 200, Json{{"epoch", 13 + deletions}, {"news", changes}}.dump());
+    state_cache_.apply({keys::job(JobId("job-3")), std::nullopt, Revision{14 + deletions}});
+    apply_stored_records(state_cache_, late_response(job_id, 9));
+    EXPECT_EQ(state_cache_.job(job_id), nullptr);
+    EXPECT_TRUE(state_cache_.tasks_on(machine).empty());
+}
+
+// A record that the watch has not brought yet is newer than all that was applied, and counts at once.
+TEST_F(StateReload, MessageAheadOfTheWatchIsApplied) {
+    apply_stored_records(state_cache_, late_response(JobId("job-2"), 11));
+    ASSERT_NE(state_cache_.job(JobId("job-2")), nullptr);
+    EXPECT_EQ(state_cache_.tasks_on(machine).size(), 2U);
+}
+
 }  // namespace
 }  // namespace zincdyke::testing
--- a/tests/transaction_builder_test.cpp
+++ b/tests/transaction_builder_test.cpp
@@ -39,7 +39,9 @@
         cache_->applied_revision = Revision{20};
     }
     void load_page(const std::vector<TaskState>& tasks) {
+        cache_->applied_revision = Revision{10};  // the page is read after the job
         cache_->apply({keys::page(job_id, 0), records::encode_page(tasks, 0), Revision{11}});
+        cache_->applied_revision = Revision{20};
     }
     static TaskState placed(Attempt attempt, const char* machine) {
         return {TaskState::Status::placed, attempt, MachineId(machine), ""};
@@ -291,7 +293,7 @@
 
 TEST_F(LargePageTest, AsksForSmallerPagesFromTheFirstFormatLevelOn) {
     load();
-    cache_->apply({keys::fleet_format_level, Json{{"format", 1U}}, Revision{12}});
+    cache_->apply({keys::fleet_format_level, Json{{"format", 1U}}, Revision{21}});
     const BuiltTransaction built = build(many_starts());
     EXPECT_TRUE(built.operations.empty());
     EXPECT_TRUE(built.transaction.writes.empty());
