A start of a limited team is not committed without the team's lock

Cause: a start whose job was missing from the reloaded cache was returned to a page's queue, because CommitQueue knows its team by the job only. When the job was back, the start was built from there: the team's use counted from zero, and no lock among the preconditions.

Change: TransactionBuilder rejects a start of a limited team unless the transaction names that team's lock; the relay asks again.

Why this works: the check is made where the preconditions are, for whatever queue and whatever history a start comes from.

--- a/src/jobs/transaction_builder.cpp
+++ b/src/jobs/transaction_builder.cpp
@@ -65,6 +65,14 @@
     return operation.term;
 }
 
+// Returns whether the transaction may contain starts of the job's team. Without the team's lock the builder
+// knows neither the team's usage nor whether another controller is committing starts of the team.
+bool TransactionBuilder::has_required_team_lock(const Job& job) const {
+    const Team* team = state_cache_.team_limits(job.spec.team);
+    if (team == nullptr || !team->has_limit()) return true;
+    return context_.team_lock && context_.team_lock->team == team->name;
+}
+
 bool TransactionBuilder::is_zone_allowed(const Job& job, const std::string& zone) const {
     if (!job.spec.one_zone) return true;
     const auto chosen_zone = effects_.zones_by_job.find(job.spec.id);
@@ -77,7 +85,7 @@
                                        Term term) const {
     const auto shard_term = effects_.terms_by_shard.find(shard);
     if (shard_term != effects_.terms_by_shard.end() && shard_term->second != term) return false;
-    return !operation.is_start() || is_zone_allowed(job, operation.zone);
+    return !operation.is_start() || (has_required_team_lock(job) && is_zone_allowed(job, operation.zone));
 }
 
 // Reports an operation that needs no write. A start counts as committed if its task is placed on the
--- a/src/jobs/transaction_builder.h
+++ b/src/jobs/transaction_builder.h
@@ -112,6 +112,7 @@
                                      Term term) const;
     [[nodiscard]] std::optional<Term> valid_term(const PendingOperation& operation,
                                                  std::uint32_t shard) const;
+    [[nodiscard]] bool has_required_team_lock(const Job& job) const;
     [[nodiscard]] bool is_zone_allowed(const Job& job, const std::string& zone) const;
     [[nodiscard]] std::size_t condition_count() const;
     [[nodiscard]] bool fits_value_limit(std::size_t task_count, std::size_t record_bytes) const;
--- a/tests/transaction_builder_test.cpp
+++ b/tests/transaction_builder_test.cpp
@@ -205,6 +205,20 @@
     EXPECT_FALSE(std::get<SettledOperation>(built.notices.at(0)).is_committed);
 }
 
+// Guards against quota: a start whose job was unknown when it was queued came from a page's queue, and was
+// committed without the team's lock.
+TEST_F(TransactionBuilderTest, StartOfALimitedTeamIsRejectedWithoutItsLock) {
+    job_.spec.team = TeamName("limited");
+    load();
+    EXPECT_FALSE(settled_as_committed(build({start(0, "m1")})));
+    BuildContext of_another_team = context();
+    of_another_team.team_lock = TeamLockToken{TeamName("free"), Revision{5}};
+    EXPECT_FALSE(settled_as_committed(build({start(0, "m1")}, std::move(of_another_team))));
+    load_page({placed(1, "m1"), {}, {}});
+    const BuiltTransaction built = build({end(OperationKind::release, 0, 1, "m1")});
+    EXPECT_EQ(built.operations.size(), 1U);  // an end needs no lock
+}
+
 TEST_F(TransactionBuilderTest, FirstStartBindsAOneZoneJob) {
     job_.spec.one_zone = true;
     job_.assigned_zone = "b";
