An end stays pending until the cache shows it, not only until it is answered

Cause: a forwarded release counts as pending until the committer answers. If an earlier commit of it was carried out without an answer, the committer settles it without a write and sends no record; records above a message's limit are left out too. A leader whose watch lags then sees the attempt still placed and no end pending, and commands its start, which no commit checks.

Change: where the cache still shows the attempt as placed, TaskCommitter keeps the end as pending until the cache has been read as of the answer. In the usual case the record comes with the answer, and nothing is read.

--- a/src/jobs/task_committer.cpp
+++ b/src/jobs/task_committer.cpp
@@ -10,6 +10,7 @@
 // above this limit.
 constexpr std::size_t max_pending_operations = 20'000;
 constexpr double demand_smoothing_factor = 0.6;
+constexpr Duration fresh_state_retry_delay = std::chrono::milliseconds(100);
 }  // namespace
 
 TaskCommitter::TaskCommitter(Env& env, const Settings& settings, StoreClient& store, StateCache& state_cache,
@@ -135,12 +136,35 @@
 // through the operation's callback.
 void TaskCommitter::deliver_result(const JobId& job, PendingOperation& operation, bool is_committed) {
     if (operation.forwarded_request) return responder_.add_result(*operation.forwarded_request, is_committed);
-    unfinished_operations_.erase({{job, operation.task}, operation.kind, operation.attempt});
+    finish_operation({{job, operation.task}, operation.kind, operation.attempt});
     if (operation.on_result)
         env_.after(Duration(0),
                    [on_result = std::move(operation.on_result), is_committed] { on_result(is_committed); });
 }
 
+// Forgets an operation that has a result. The result of a forwarded end may arrive before the record that
+// shows the end, for example if an earlier commit of the end had succeeded without a response. Until the
+// state cache contains all that was committed before the result, the end counts as pending: otherwise the
+// attempt could be started again while its successor runs.
+void TaskCommitter::finish_operation(const UnfinishedKey& key) {
+    if (!is_end_of_placed_attempt(key)) {
+        unfinished_operations_.erase(key);
+        return;
+    }
+    cluster_.await_fresh_state([this, key](bool is_fresh) {
+        if (is_fresh)
+            unfinished_operations_.erase(key);
+        else
+            env_.after(fresh_state_retry_delay, [this, key] { finish_operation(key); });
+    });
+}
+
+bool TaskCommitter::is_end_of_placed_attempt(const UnfinishedKey& key) const {
+    const TaskState task = state_cache_.task(key.task);
+    return key.kind != OperationKind::start && task.status == TaskState::Status::placed &&
+           task.attempt == key.attempt;
+}
+
 void TaskCommitter::on_pages_resized(const JobId& id) { queue_.on_pages_resized(id); }
 
 void TaskCommitter::close_job(const JobId& id) { record_writer_.close_job(id); }
--- a/src/jobs/task_committer.h
+++ b/src/jobs/task_committer.h
@@ -51,8 +51,9 @@
     /// Commits that an attempt ended without completing its task, or was never started. The task becomes
     /// pending again. The reason is only logged.
     void commit_release(const TaskRef& task, Attempt attempt, const MachineId& machine, ReleaseReason reason);
-    /// Returns whether a completion or release of this attempt is waiting to be committed. The worker must
-    /// not be commanded to run the attempt in the meantime.
+    /// Returns whether a completion or release of this attempt is waiting to be committed, or may have been
+    /// committed although the state cache does not show it yet. The worker must not be commanded to run the
+    /// attempt in the meantime.
     [[nodiscard]] bool has_pending_end(const TaskRef& task, Attempt attempt) const;
 
     /// Handles operations that another shard leader forwarded to this node.
@@ -73,8 +74,8 @@
     [[nodiscard]] Counts counts() const;
 
   private:
-    // Identifies an operation that this node decided and that has no result yet. Workers repeat a task's
-    // status in each heartbeat; this key prevents an operation from being accepted twice.
+    // Identifies an operation that this node decided and that is not finished. Workers repeat a task's status
+    // in each heartbeat; this key prevents an operation from being accepted twice.
     struct UnfinishedKey {
         TaskRef task;
         OperationKind kind = OperationKind::start;
@@ -84,6 +85,8 @@
     void accept(const JobId& job, PendingOperation operation);
     void enqueue(const JobId& job, PendingOperation operation);
     void deliver_result(const JobId& job, PendingOperation& operation, bool is_committed);
+    void finish_operation(const UnfinishedKey& key);
+    [[nodiscard]] bool is_end_of_placed_attempt(const UnfinishedKey& key) const;
     void on_operation_finished(const JobId& job, PendingOperation& operation, bool is_committed) override;
     void on_transaction_committed(const Transaction& transaction, Revision revision) override;
 
@@ -97,7 +100,7 @@
     JobRecordWriter record_writer_;
     CommitQueue queue_;
     CommitExecutor executor_;
-    std::set<UnfinishedKey> unfinished_operations_;  // decided by this node, without a result yet
+    std::set<UnfinishedKey> unfinished_operations_;  // decided by this node
     std::size_t pending_count_ = 0;
     std::uint64_t sampled_written_pages_ = 0;
     double write_demand_ = 0;
