A late confirmation that a machine is drained returns no machine in use

What callers could see: machines are returned while tasks run on them.

Cause: the shard's leader ends a drain 20 s after it began. A DrainResponse held back for longer was taken at its word, from whoever it came.

Change: the autoscaler's leader heeds it only within 10 s of its own last request for the machine, from the shard's present leader, and while no task is placed there. Messages are unchanged.

--- a/src/app/peer_message_dispatcher.cpp
+++ b/src/app/peer_message_dispatcher.cpp
@@ -39,8 +39,8 @@
     recipients_.workers.on_drain_request(from, request);
 }
 
-void PeerMessageDispatcher::on(const NodeName& /*from*/, const wire::DrainResponse& response) {
-    recipients_.autoscaler.on_drain_response(response);
+void PeerMessageDispatcher::on(const NodeName& from, const wire::DrainResponse& response) {
+    recipients_.autoscaler.on_drain_response(from, response);
 }
 
 void PeerMessageDispatcher::on(const NodeName& /*from*/,
--- a/src/autoscaler/autoscaler.cpp
+++ b/src/autoscaler/autoscaler.cpp
@@ -36,6 +36,9 @@
 constexpr double min_remaining_boot_s = 1;
 
 constexpr Duration drain_retry_interval = std::chrono::seconds(2);
+// Age of a drain request after which a response to it no longer counts: the shard's leader ends the drain 20
+// s after the request has reached it, and may then place tasks on the machine.
+constexpr Duration max_drain_response_age = std::chrono::seconds(10);
 constexpr Duration orphan_delete_interval = std::chrono::seconds(1);
 constexpr Duration startup_period = std::chrono::seconds(1);
 // A new autoscaler leader provisions no machines until the cloud's machine list contains those that its
@@ -76,9 +79,20 @@
     }
 }
 
-void Autoscaler::on_drain_response(const wire::DrainResponse& message) {
+void Autoscaler::on_drain_response(const NodeName& from, const wire::DrainResponse& message) {
+    if (!cluster_.is_autoscaler_leader() || !is_still_drained(from, message.machine)) return;
     // Drained machines are terminated together at the next tick, to save requests to the cloud.
-    if (cluster_.is_autoscaler_leader()) drained_machines_.insert(message.machine);
+    drained_machines_.insert(message.machine);
+}
+
+// Returns whether the machine that the controller `from` has confirmed as drained is still drained. The
+// message may be late: the drain may have ended since, or the machine's shard may have another leader.
+bool Autoscaler::is_still_drained(const NodeName& from, const MachineId& id) {
+    const autoscaler::ProvisionedMachine* machine = inventory_.find_machine(id);
+    if (machine == nullptr || machine->drain_requested_at == SteadyTime{}) return false;
+    return env_.now() - machine->drain_requested_at <= max_drain_response_age &&
+           state_cache_.shards()[state_cache_.shard_of(id)].leader == from &&
+           state_cache_.tasks_on(id).empty();
 }
 
 void Autoscaler::on_machines_terminated(const wire::MachinesTerminatedNotification& message) {
--- a/src/autoscaler/autoscaler.h
+++ b/src/autoscaler/autoscaler.h
@@ -37,7 +37,7 @@
     /// Handles a heartbeat from the controller `from` with the status of the machines that it leads.
     void on_peer_heartbeat(const NodeName& from, const wire::PeerHeartbeat& heartbeat);
     /// Handles the message in which a shard's leader confirms that a machine is drained.
-    void on_drain_response(const wire::DrainResponse& message);
+    void on_drain_response(const NodeName& from, const wire::DrainResponse& message);
     /// Handles the autoscaler leader's notification that the cloud has confirmed the termination of machines.
     void on_machines_terminated(const wire::MachinesTerminatedNotification& message);
 
@@ -54,6 +54,7 @@
     void on_machine_types(const std::vector<wire::MachineType>& types);
     void read_machine_list(const std::string& start_after, std::set<MachineId> listed);
     void announce_discovered_machines();
+    [[nodiscard]] bool is_still_drained(const NodeName& from, const MachineId& id);
     void terminate_drained_machines();
     void delete_orphaned_pages();
 
--- a/tests/autoscaling_test.cpp
+++ b/tests/autoscaling_test.cpp
@@ -54,6 +54,26 @@
     }
 }
 
+// A leader's word that a machine is drained was held back until the drain had ended and the machine was in
+// use.
+TEST(Autoscaling, LateDrainResponseReturnsNoMachineInUse) {
+    SimulatedDeployment deployment;
+    deployment.run(3);
+    deployment.submit(deployment.job(job_id(1), 16, 1, 60));
+    ASSERT_TRUE(
+        deployment.run_until([&] { return deployment.workers.executing_tasks(job_id(1)) == 16; }, 60));
+    Node& autoscaler = deployment.controller(autoscaler_leader(deployment));
+    for (const auto& id : machine_ids(deployment)) {
+        const NodeName leader(deployment.controller_name(leader_of(deployment, id)));
+        autoscaler.on_peer(leader, wire::DrainResponse{MachineId(id)});
+    }
+    deployment.run(5);
+    EXPECT_EQ(deployment.workers.executing_tasks(job_id(1)), 16);
+    EXPECT_TRUE(all_reach_final_state(deployment, {job_id(1)}, 100));
+    EXPECT_EQ(deployment.checker.starts, 16);
+    expect_no_violations(deployment);
+}
+
 // An autoscaler leader that has just started hears of machines by the cloud's list first: those that run are
 // not slow to boot, however old they are.
 TEST(Autoscaling, RestartedLeaderReturnsNoMachineInUse) {
