--- a/src/autoscaler/class_reservations.cpp
+++ b/src/autoscaler/class_reservations.cpp
@@ -64,7 +64,8 @@
     const std::size_t preemptible =
         preemptor_.preempt_for_waiting_tasks(candidates, waiting, spec, reservation);
     // While tasks of the job class wait, tasks of other classes may not use its reserved machines, not even
-    // preemptible ones, because they would take the capacity that preemption has just freed.
+    // preemptible ones, because they would take the capacity that preemption has just freed: the
+    // part of a machine that came free first was taken again before the rest was free.
     if (waiting > 0) reservation.max_save_s = 0;
     for (const auto& [cost, bin] : candidates) {
         bin->reservation = reservation;
@@ -81,7 +82,8 @@
 // Reserves capacity for the waiting replicas of a service class, for the replicas expected to be submitted
 // while another machine boots, and for one job of the largest recent size. Machines that cache the class's
 // images are reserved first. A machine that already runs replicas is reserved only if its free capacity is
-// needed, because replicas are small and run until they are cancelled.
+// needed, because replicas are small and run until they are cancelled: if all such machines were reserved,
+// the rest of each would stand idle.
 std::optional<Demand> ClassReservations::reserve_for_service(const ArrivalStatistics& arrivals, WallTime now,
                                                              ReservationMap& reservations) {
     const wire::JobSpec& spec = arrivals.latest_spec();
--- a/src/cluster/state_watcher.cpp
+++ b/src/cluster/state_watcher.cpp
@@ -110,7 +110,7 @@
 
 // Returns the pause between two watches. The pause batches changes into one response and grows with the
 // number of controllers, so that the watches of all controllers stay within the watch share of the request
-// budget.
+// budget: at a fixed pause of 30 ms, the watches of seven controllers took most of the budget.
 Duration StateWatcher::watch_pause() const {
     const double pause_s =
         static_cast<double>(membership_.budget_node_count()) / (settings_.store_rps * watch_budget_share);
@@ -161,7 +161,8 @@
     });
 }
 
-// Concurrent reads share one request, because one request per read could exhaust the store's request budget.
+// Concurrent reads share one request. With one request each, the reads of some hundred users took the store's
+// whole request budget, and most of them were never answered.
 void StateWatcher::await_fresh_state(PendingReads::Callback done) {
     if (!is_up_to_date() || reads_.is_full()) {
         env_.after(Duration(0), [done = std::move(done)] { done(false); });
--- a/src/jobs/placement_backoff.h
+++ b/src/jobs/placement_backoff.h
@@ -15,7 +15,8 @@
 
 /// Identifies a placement group: all jobs with the same job class and the same placement constraints, which
 /// can be placed on the same machines. Jobs that need different amounts of resources share a group, so that a
-/// burst of similar jobs is limited as a whole.
+/// burst of similar jobs is limited as a whole: with the amounts in the key, each waiting job of the burst
+/// would be a group of its own, and all would ask again.
 struct PlacementGroup {
     std::string job_class;
     sched::PlacementConstraints constraints;
--- a/src/jobs/placement_gatherer.cpp
+++ b/src/jobs/placement_gatherer.cpp
@@ -8,7 +8,7 @@
 constexpr Duration gather_timeout = std::chrono::milliseconds(300);  // from a round's first response
 constexpr Duration cleanup_interval = std::chrono::milliseconds(100);
 // How long decided placement rounds are kept in order to recognize late responses. A response that arrives
-// even later starts a new round.
+// even later starts a new round, which is decided with that response alone.
 constexpr Duration round_retention = std::chrono::seconds(6);
 }  // namespace
 
--- a/src/sched/placement_rules.cpp
+++ b/src/sched/placement_rules.cpp
@@ -71,7 +71,8 @@
 namespace {
 // Weights of a cached image, of a replica and of a task failure in the score. Each weight exceeds the highest
 // possible score for free capacity, which is a few thousand, so that free capacity only decides between
-// otherwise equal candidates.
+// otherwise equal candidates. A service's second replica on a machine with its image scores less than the
+// first on another such machine, and the third less than one on a machine without the image.
 constexpr std::int64_t image_weight = 100'000, replica_weight = 60'000, failure_weight = 1'000'000;
 }  // namespace
 
--- a/src/store/machine_images.h
+++ b/src/store/machine_images.h
@@ -11,7 +11,8 @@
 /// Images of the tasks recently placed on each machine.
 ///
 /// Every controller derives the index from the placements that it reads, and keeps it when the state cache is
-/// reloaded, so that a new shard leader still knows which images a machine has cached.
+/// reloaded, so that a new shard leader still knows which images a machine has cached. When only the
+/// shard's leader knew them, they were lost with it, and gangs waited for fetches of images that were there.
 class MachineImages {
   public:
     /// Records that a task with the image was placed on the machine at the revision `placed_at`. Ignores an
--- a/src/workers/heartbeat_handler.cpp
+++ b/src/workers/heartbeat_handler.cpp
@@ -98,7 +98,8 @@
 
 // Whether the response to a heartbeat should be delayed, because commands are likely to follow soon: the
 // machine reports an ended task, or no tasks while tasks are pending. A command that misses the response has
-// to wait for the machine's next heartbeat, which leaves the machine idle in between.
+// to wait for the machine's next heartbeat, which leaves the machine idle in between: with short tasks, for a
+// tenth of its time.
 bool HeartbeatHandler::should_delay_response(const Machine& machine, const wire::Heartbeat& heartbeat) const {
     if (heartbeat.spot_notice_s || !availability_.is_schedulable(heartbeat.machine, machine) ||
         !state_cache_.has_pending_tasks())
--- a/src/workers/machine_registry.h
+++ b/src/workers/machine_registry.h
@@ -84,7 +84,8 @@
     void mark_terminated(const MachineId& id);
     [[nodiscard]] bool is_terminated(const MachineId& id) const { return terminated_.contains(id); }
 
-    /// Limit on registered machines. Heartbeats of further machines get a 503 response.
+    /// Limit on registered machines, above the size of the largest deployment. Heartbeats of further machines
+    /// get a 503 response.
     static constexpr std::size_t max_machines = 20'000;
 
   private:
--- a/src/workers/placement_scorer.h
+++ b/src/workers/placement_scorer.h
@@ -66,7 +66,7 @@
     // Minimum age difference, in addition to the clock skew, for precedence over a job of the same rank.
     static constexpr double precedence_min_age_gap_s = 3;
     // Maximum time for which a machine is withheld from a job in favor of jobs with precedence. Without this
-    // limit, a job whose relay is unavailable would keep the machine idle.
+    // limit, a job whose relay is unavailable, or whose tasks fail everywhere, would keep the machine idle.
     static constexpr Duration max_deferral = std::chrono::milliseconds(1500);
     static constexpr int max_error_penalty = 5;
     static constexpr int failed_on_machine_penalty = 2;
