--- a/review/lib-2/cases.cpp
+++ b/review/lib-2/cases.cpp
@@ -1,5 +1,6 @@
 // The cases of the second review. cases NAME FOLDER runs one, writes FOLDER/record.txt, and exits with 1 if the rule was
 // broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
+#include <algorithm>
 #include <cstdio>
 #include <cstdlib>
 #include <iostream>
@@ -72,6 +73,14 @@
     return site;
 }
 
+// kit/change/quiz-soir-qc-next.toml, with guarantees in CPUs that fit four machines.
+Site quiz_next() {
+    Site site = quiz();
+    site.teams = team("manche", 24, 48, 0, 0) + team("ardoise", 24, 48, 0, 0);
+    site.objectives = objective("wait", "batterie-manches", 18, 0.82) + objective("wait", "service-pointage", 4, 0.82);
+    return site;
+}
+
 Json job(const std::string& id, const std::string& job_class, const std::string& crew, const std::string& shape, int tasks,
          double cpus, double gpus, double ram_gb) {
     return {{"uid", id},          {"ilk", job_class}, {"crew", crew},     {"shape", shape},        {"rank", "standard"},
@@ -196,6 +205,32 @@
     return starts_within_90_s(rig, "job-000002") ? 0 : 1;
 }
 
+// A team that is within its guarantee waits for another that runs beyond its own after a burst.
+int guarantee_after_burst(Rig& rig) {
+    for (int i = 0; i < 4; ++i) rig.add_machine("boite-gpu-douze", "laurentides", false, 0.1);
+    rig.cloud_has_capacity = false;
+    rig.run_for(0.3);
+    rig.start_controllers();
+    if (!rig.wait_healthy(0, 15)) throw CannotRun("no controller is healthy");
+    if (!rig.run_until([&] { return std::all_of(rig.machines.begin(), rig.machines.end(), [](const auto& m) { return m.second->baton > 0; }); }, 10))
+        throw CannotRun("a machine got no answer");
+    const int services = with_trouble() ? 6 : 3;
+    std::vector<std::string> ids;
+    for (int i = 0; i < services; ++i) {
+        ids.push_back("job-00001" + std::to_string(i));
+        Json service = job(ids.back(), "service-pointage", "ardoise", "service", 4, 2, 0, 12.8);
+        service["rank"] = "critical", service["loaners"] = false, service["guess_s"] = 0.0;
+        rig.submit(service);
+    }
+    if (!rig.run_until([&] { return std::all_of(ids.begin(), ids.end(), [&](const auto& id) { return rig.starts(id) >= 4; }); }, 30))
+        throw CannotRun("the services did not start");
+    Json photos = job("job-000002", "portraits", "manche", "batch", 2, 5, 1, 36);
+    photos["rank"] = "high";
+    rig.submit(photos);
+    if (!rig.run_until([&] { return rig.is_accepted("job-000002"); }, 10)) throw CannotRun("not accepted");
+    return starts_within_90_s(rig, "job-000002") ? 0 : 1;
+}
+
 struct Case {
     const char* name;
     Site (*site)();
@@ -204,7 +239,8 @@
 constexpr Case all_cases[] = {{"gang-after-a-machine-died", tavernier, gang_after_a_machine_died},
                               {"apart-after-a-machine-died", tavernier, apart_after_a_machine_died},
                               {"no-gpu-beside-room", leerlening, no_gpu_beside_room},
-                              {"beside-standby", quiz, beside_standby}};
+                              {"beside-standby", quiz, beside_standby},
+                              {"guarantee-after-burst", quiz_next, guarantee_after_burst}};
 
 int run(const std::string& name, const std::string& folder) {
     for (const Case& known : all_cases) {
